Package layout, transport, typed messages and peer links

Cause: the repository was empty; every part needs the same channel, message and link interfaces before it can be built beside the others.

Change: memory and websocket channels behind one interface, messages as CBOR arrays checked on arrival, links between processes with calls and notices, and a test command that formats, lints, checks the layers and runs the tests.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demonstration; each is run with ``python -m``."""
--- /dev/null
+++ b/poplarward/operations/__init__.py
@@ -0,0 +1,3 @@
+"""Serves the operators' remote procedure calls."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/poplarward/programs/__init__.py
@@ -0,0 +1,3 @@
+"""The command-line programs that operators start."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/poplarward/telemetry/logs.py
@@ -0,0 +1,45 @@
+"""One line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+__all__ = ["configure_logs", "get_logger"]
+
+
+def configure_logs(program: str, level: str = "info") -> None:
+    """Send the log to standard error, one line of key=value pairs an event.
+
+    Parameters
+    ----------
+    program : str
+        Name that every line carries.
+    level : str
+        Lowest level that is written: debug, info, warning or error.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"], drop_missing=True
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            getattr(logging, level.upper())
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(program=program)
+
+
+def get_logger(name: str) -> Any:
+    """Return a logger whose lines carry the component's name."""
+    return structlog.get_logger(component=name)
--- /dev/null
+++ b/poplarward/transport/__init__.py
@@ -0,0 +1,20 @@
+"""Moves messages, as bytes, between the processes of the system.
+
+A `Network` opens and accepts `Channel` objects. `WebSocketNetwork` is used between
+hosts, `MemoryNetwork` in tests, where links may be delayed, cut or made to lose,
+double or reorder messages.
+"""
+
+from .channels import Address, Channel, ChannelHandler, Network
+from .memory import LinkFaults, MemoryNetwork
+from .websocket import WebSocketNetwork
+
+__all__ = [
+    "Address",
+    "Channel",
+    "ChannelHandler",
+    "LinkFaults",
+    "MemoryNetwork",
+    "Network",
+    "WebSocketNetwork",
+]
--- /dev/null
+++ b/poplarward/transport/channels.py
@@ -0,0 +1,75 @@
+"""Interfaces of a message channel and of the network that opens it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+from typing import NamedTuple, Protocol
+
+import trio
+
+__all__ = ["Address", "Channel", "ChannelHandler", "Network"]
+
+
+class Address(NamedTuple):
+    """An IP address and a port.
+
+    Examples
+    --------
+    >>> str(Address("127.0.0.1", 7001))
+    '127.0.0.1:7001'
+    >>> Address.parse("127.0.0.1:7001")
+    Address(host='127.0.0.1', port=7001)
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``host:port``; raises ValueError if the port is no number."""
+        host, _, port = text.rpartition(":")
+        return cls(host, int(port))
+
+
+class Channel(Protocol):
+    """An ordered, two-way stream of messages between two processes.
+
+    A channel is cut as a whole: what was sent before `ChannelClosed` may or may not
+    have arrived.
+    """
+
+    async def send(self, message: bytes) -> None:
+        """Send one message; raises `ChannelClosed`."""
+        ...
+
+    async def receive(self) -> bytes:
+        """Return the next message; raises `ChannelClosed`."""
+        ...
+
+    async def close(self) -> None:
+        """Close both directions; closing twice is harmless."""
+        ...
+
+
+ChannelHandler = Callable[[Channel], Awaitable[None]]
+
+
+class Network(Protocol):
+    """Opens channels to addresses and accepts channels at an address."""
+
+    def connect(self, address: Address) -> AbstractAsyncContextManager[Channel]:
+        """Open a channel for the length of a block; raises `PeerUnreachable`."""
+        ...
+
+    async def serve(
+        self,
+        address: Address,
+        handler: ChannelHandler,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run `handler` in a task for each channel until cancelled."""
+        ...
