--- a/poplarward/coordination/__init__.py
+++ b/poplarward/coordination/__init__.py
@@ -1,6 +1,10 @@
 """Lets the processes of a deployment act together.
 
-Membership, leases, configuration, expert maps and rebalancing.
+`HostList` follows the platform's list of hosts. `ConfigurationFollower` keeps the
+configuration in force up to date.
 """
 
-__all__: list[str] = []
+from .configuration import ConfigurationFollower
+from .hosts import HostEntry, HostList
+
+__all__ = ["ConfigurationFollower", "HostEntry", "HostList"]
--- /dev/null
+++ b/poplarward/coordination/hosts.py
@@ -0,0 +1,103 @@
+"""Follows the platform's lagging list of live and leaving hosts."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Literal, NamedTuple
+
+import trio
+from pydantic import TypeAdapter, ValidationError
+
+from ..errors import UpstreamUnreachable
+from ..telemetry import get_logger
+from ..transport import Address, HttpClient
+
+__all__ = ["HostEntry", "HostList"]
+
+POLL_INTERVAL_MS = 1000.0
+
+log = get_logger("hosts")
+
+
+class HostEntry(NamedTuple):
+    """A host as the platform lists it.
+
+    Attributes
+    ----------
+    name : str
+        The process's name.
+    role : str
+        ``entry`` or ``agent``.
+    data_centre : str
+    state : str
+        ``live`` or ``leaving``.
+    peers_address : Address
+        Where the process accepts connections of other processes.
+    callers_address : Address, optional
+        Where an entry host takes callers' requests.
+    """
+
+    name: str
+    role: Literal["entry", "agent"]
+    data_centre: str
+    state: Literal["live", "leaving"]
+    peers_address: str
+    callers_address: str = ""
+
+    @property
+    def peers(self) -> Address:
+        """The peers' address, parsed."""
+        return Address.parse(self.peers_address)
+
+
+_HOSTS = TypeAdapter(list[HostEntry])
+
+
+class HostList:
+    """The last list of hosts that the platform gave.
+
+    Attributes
+    ----------
+    hosts : dict
+        Hosts by name; kept as it was while the platform does not answer.
+    on_change : list of callable
+        Called after each change of the list.
+    """
+
+    def __init__(self, base_url: str):
+        self.hosts: dict[str, HostEntry] = {}
+        self.on_change: list[Callable[[], None]] = []
+        self._client = HttpClient(base_url, n_connections=2)
+
+    def with_role(self, role: str) -> list[HostEntry]:
+        """Return the hosts of a role, ordered by name."""
+        found = [host for host in self.hosts.values() if host.role == role]
+        return sorted(found)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Read the list once and begin to follow it."""
+        await self._poll()
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Close the connections to the platform."""
+        await self._client.close()
+
+    async def _run(self) -> None:
+        while True:
+            await trio.sleep(POLL_INTERVAL_MS / 1000)
+            await self._poll()
+
+    async def _poll(self) -> None:
+        try:
+            response = await self._client.call("GET", "/hosts", timeout_ms=2000)
+            entries = json.loads(response.body)["hosts"]
+            hosts = {host.name: host for host in _HOSTS.validate_python(entries)}
+        except (UpstreamUnreachable, ValidationError, ValueError, KeyError) as error:
+            log.warning("hosts.unreadable", reason=str(error))
+            return
+        if hosts != self.hosts:
+            self.hosts = hosts
+            for callback in self.on_change:
+                callback()
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -10,6 +10,8 @@
 from typing import NamedTuple
 
 __all__ = [
+    "BodyTooLarge",
+    "CallerGone",
     "ChannelClosed",
     "ConflictError",
     "DecodeError",
@@ -19,7 +21,9 @@
     "PeerTimeout",
     "PeerUnreachable",
     "PoplarwardError",
+    "Refused",
     "StoreUnavailable",
+    "UpstreamUnreachable",
 ]
 
 
@@ -27,6 +31,14 @@
     """Base class of all exceptions of this package."""
 
 
+class BodyTooLarge(PoplarwardError):
+    """A request's body is longer than the limit."""
+
+
+class CallerGone(PoplarwardError):
+    """The caller closed its connection before its request was complete."""
+
+
 class ChannelClosed(PoplarwardError):
     """A message channel was closed by either end."""
 
@@ -55,6 +67,34 @@
     """A conditional update was refused because the object has another version."""
 
 
+class Refused(PoplarwardError):
+    """A request was refused before any upstream received it.
+
+    Attributes
+    ----------
+    retry_after_ms : float
+        When the caller may come back.
+    """
+
+    def __init__(self, reason: str, retry_after_ms: float):
+        super().__init__(reason)
+        self.retry_after_ms = retry_after_ms
+
+
+class UpstreamUnreachable(PoplarwardError):
+    """An upstream could not be reached, or its answer broke off.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether the upstream may have received the request.
+    """
+
+    def __init__(self, reason: str, *, sent: bool):
+        super().__init__(reason)
+        self.sent = sent
+
+
 class Finding(NamedTuple):
     """One thing found wrong in an input, with its place.
 
--- a/poplarward/operations/__init__.py
+++ b/poplarward/operations/__init__.py
@@ -1,3 +1,9 @@
-"""Serves the operators' remote procedure calls."""
+"""Serves the operators' remote procedure calls, from the published schema.
 
-__all__: list[str] = []
+`OperationsService` implements the calls, `operations_application` serves them as
+Connect, gRPC and gRPC-Web to operators who show a valid credential.
+"""
+
+from .service import OperationsService, operations_application
+
+__all__ = ["OperationsService", "operations_application"]
--- /dev/null
+++ b/poplarward/programs/agent.py
@@ -0,0 +1,74 @@
+"""Agent of a Poplarward deployment, one on each upstream host.
+
+The only way in to its upstream: it admits, runs, bars and reports requests.
+
+Usage:
+  poplarward-agent [--check] SETTINGS
+  poplarward-agent (-h | --help)
+  poplarward-agent --version
+
+Options:
+  --check    Check the settings and start nothing.
+  -h --help  Show this text.
+  --version  Show the version.
+
+Exit status:
+  0  The program was stopped, or the settings are valid.
+  2  The settings are not valid; every finding was printed.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from ..protocol import Peers, ProcessIdentity
+from ..protocol.identity import new_start_id
+from ..protocol.reports import UpstreamKind
+from ..requests import Executor, UpstreamSettings
+from ..telemetry import get_logger
+from ..transport import Address, WebSocketNetwork
+from .settings import AgentSettings
+from .startup import load, wait_for_stop
+
+__all__ = ["main"]
+
+log = get_logger("agent")
+
+
+def main() -> None:
+    """Run the program named on the command line."""
+    settings = load(__doc__, "poplarward-agent", AgentSettings)
+    if settings is not None:
+        trio.run(_run, settings)
+
+
+async def _run(settings: AgentSettings) -> None:
+    identity = ProcessIdentity(
+        role="agent",
+        name=settings["name"],
+        start_id=new_start_id(),
+        address=Address.parse(settings["peers_listen"]),
+        data_centre=settings["data_centre"],
+    )
+    section = settings["upstream"]
+    upstream = UpstreamSettings(
+        UpstreamKind(section["kind"]),
+        section["name"],
+        section["url"],
+        section["n_slots"],
+    )
+    peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
+    executor = Executor(peers, upstream)
+    async with trio.open_nursery() as nursery:
+        await executor.start(nursery)
+        await peers.start(nursery)
+        log.info("agent.started", name=settings["name"], upstream=upstream.name)
+        await wait_for_stop(lambda: executor.n_attempts)
+        await executor.drain()
+        await peers.close()
+        await executor.close()
+        nursery.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/poplarward/programs/entry.py
@@ -0,0 +1,116 @@
+"""Entry host of a Poplarward deployment.
+
+Answers callers and operators, and routes callers' requests to agents.
+
+Usage:
+  poplarward-entry [--check] SETTINGS
+  poplarward-entry (-h | --help)
+  poplarward-entry --version
+
+Options:
+  --check    Check the settings and start nothing.
+  -h --help  Show this text.
+  --version  Show the version.
+
+Exit status:
+  0  The program was stopped, or the settings are valid.
+  2  The settings are not valid; every finding was printed.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from ..coordination import ConfigurationFollower, HostList
+from ..errors import PeerUnreachable
+from ..operations import OperationsService, operations_application
+from ..protocol import Peers, ProcessIdentity
+from ..protocol.identity import new_start_id
+from ..requests import AgentTable, Gateway, Relay
+from ..state import ConfigurationView, HttpObjectStore
+from ..telemetry import get_logger
+from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from .settings import EntrySettings
+from .startup import load, wait_for_stop
+
+__all__ = ["main"]
+
+CONNECT_INTERVAL_S = 0.5
+
+log = get_logger("entry")
+
+
+def main() -> None:
+    """Run the program named on the command line."""
+    settings = load(__doc__, "poplarward-entry", EntrySettings)
+    if settings is not None:
+        trio.run(_run, settings)
+
+
+async def _run(settings: EntrySettings) -> None:
+    identity = ProcessIdentity(
+        role="entry",
+        name=settings["name"],
+        start_id=new_start_id(),
+        address=Address.parse(settings["peers_listen"]),
+        data_centre=settings["data_centre"],
+    )
+    store = HttpObjectStore(settings["platform_url"])
+    hosts = HostList(settings["platform_url"])
+    view = ConfigurationView()
+    follower = ConfigurationFollower(store, view)
+    peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
+    agents = AgentTable(peers)
+    relay = Relay(peers)
+    gateway = Gateway(peers, relay, agents, view, lambda: _entry_addresses(hosts))
+    operations = OperationsService(store, view)
+    async with trio.open_nursery() as nursery:
+        await peers.start(nursery)
+        await hosts.start(nursery)
+        await follower.start(nursery)
+        nursery.start_soon(_connect_agents, hosts, peers)
+        await follower.ready.wait()
+        await nursery.start(
+            serve_http,
+            asgi_application(gateway.handle),
+            Address.parse(settings["callers_listen"]),
+        )
+        await nursery.start(
+            serve_http,
+            operations_application(operations, settings["operator_tokens"]),
+            Address.parse(settings["operators_listen"]),
+        )
+        log.info("entry.started", name=settings["name"], revision=view.revision)
+        await wait_for_stop(lambda: gateway.n_open)
+        while gateway.n_open:
+            await trio.sleep(0.05)
+        await peers.close()
+        nursery.cancel_scope.cancel()
+
+
+async def _connect_agents(hosts: HostList, peers: Peers) -> None:
+    """Keep a connection to every listed agent."""
+    while True:
+        async with trio.open_nursery() as nursery:
+            for host in hosts.with_role("agent"):
+                nursery.start_soon(_try_connect, peers, host.peers)
+        await trio.sleep(CONNECT_INTERVAL_S)
+
+
+async def _try_connect(peers: Peers, address: Address) -> None:
+    try:
+        await peers.connection(address)
+    except PeerUnreachable as error:
+        log.debug("agent.unreachable", address=str(address), reason=str(error))
+
+
+def _entry_addresses(hosts: HostList) -> list[Address]:
+    return [
+        Address.parse(host.callers_address)
+        for host in hosts.with_role("entry")
+        if host.state == "live"
+    ]
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarward/transport/__init__.py
+++ b/poplarward/transport/__init__.py
@@ -6,6 +6,15 @@
 """
 
 from .channels import Address, Channel, ChannelHandler, Network
+from .http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    Responder,
+    TlsFiles,
+    asgi_application,
+    serve_http,
+)
 from .memory import LinkFaults, MemoryNetwork
 from .websocket import WebSocketNetwork
 
@@ -13,8 +22,15 @@
     "Address",
     "Channel",
     "ChannelHandler",
+    "HttpClient",
+    "HttpRequest",
+    "HttpResponse",
     "LinkFaults",
     "MemoryNetwork",
     "Network",
+    "Responder",
+    "TlsFiles",
     "WebSocketNetwork",
+    "asgi_application",
+    "serve_http",
 ]
--- /dev/null
+++ b/poplarward/transport/http.py
@@ -0,0 +1,316 @@
+"""HTTP by library: hypercorn for serving and httpcore for calling."""
+
+from __future__ import annotations
+
+import json
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs
+
+import httpcore
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from ..errors import BodyTooLarge, CallerGone, UpstreamUnreachable
+from .channels import Address
+
+__all__ = [
+    "HttpClient",
+    "HttpRequest",
+    "HttpResponse",
+    "Responder",
+    "TlsFiles",
+    "asgi_application",
+    "serve_http",
+]
+
+GRACEFUL_TIMEOUT_S = 5.0
+MAX_HEADER_BYTES = 16 * 1024
+
+Headers = list[tuple[str, str]]
+
+
+class TlsFiles(NamedTuple):
+    """Paths of the PEM files of a listener.
+
+    Attributes
+    ----------
+    certificate, key : str
+        The listener's certificate chain and private key.
+    authority : str
+        Certificates that peers must be signed by; empty if none is asked for.
+    """
+
+    certificate: str
+    key: str
+    authority: str = ""
+
+
+@dataclass
+class HttpRequest:
+    """A request that a listener received; its body is not read yet."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    receive: Callable[[], Awaitable[dict[str, Any]]]
+
+    async def body(self, max_bytes: int) -> bytes:
+        """Return the whole body; raises `BodyTooLarge` or `CallerGone`."""
+        declared = self.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > max_bytes:
+            raise BodyTooLarge(f"{declared} bytes of body, at most {max_bytes}")
+        chunks: list[bytes] = []
+        n_bytes = 0
+        while True:
+            event = await self.receive()
+            if event["type"] == "http.disconnect":
+                raise CallerGone("the caller left before its body was complete")
+            chunk = event.get("body", b"")
+            n_bytes += len(chunk)
+            if n_bytes > max_bytes:
+                raise BodyTooLarge(f"more than {max_bytes} bytes of body")
+            chunks.append(chunk)
+            if not event.get("more_body", False):
+                return b"".join(chunks)
+
+    async def wait_disconnect(self) -> None:
+        """Return when the caller has left."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+    async def cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
+        """Cancel a scope when the caller has left."""
+        await self.wait_disconnect()
+        scope.cancel()
+
+
+class Responder:
+    """Sends the one response to a request."""
+
+    def __init__(self, send: Callable[[dict[str, Any]], Awaitable[None]]):
+        self._send = send
+        self.started = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status line and headers."""
+        self.started = True
+        encoded = [
+            (n.lower().encode("latin-1"), v.encode("latin-1")) for n, v in headers
+        ]
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": encoded}
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last part of the body."""
+        await self._send({"type": "http.response.body", "body": data})
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes,
+        headers: Headers | None = None,
+        content_type: str = "application/json",
+    ) -> None:
+        """Send a whole response."""
+        length = ("content-length", str(len(body)))
+        await self.start(
+            status, [("content-type", content_type), length, *(headers or [])]
+        )
+        await self.finish(body)
+
+    async def respond_json(
+        self, status: int, value: Any, headers: Headers | None = None
+    ) -> None:
+        """Send a whole response of JSON."""
+        await self.respond(status, json.dumps(value).encode(), headers)
+
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+def asgi_application(handler: Handler) -> Callable[..., Awaitable[None]]:
+    """Return an ASGI application that passes each request to a handler."""
+
+    async def application(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        if scope["type"] == "lifespan":
+            await _answer_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        request = HttpRequest(
+            method=scope["method"],
+            path=scope["path"],
+            query={name: values[-1] for name, values in query.items()},
+            headers={
+                name.decode("latin-1").lower(): value.decode("latin-1")
+                for name, value in scope["headers"]
+            },
+            receive=receive,
+        )
+        await handler(request, Responder(send))
+
+    return application
+
+
+async def _answer_lifespan(receive: Any, send: Any) -> None:
+    while True:
+        event = await receive()
+        await send({"type": event["type"] + ".complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
+
+
+async def serve_http(
+    application: Any,
+    address: Address,
+    tls: TlsFiles | None = None,
+    stop: Callable[[], Awaitable[None]] = trio.sleep_forever,
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an ASGI application until `stop` returns or the task is cancelled.
+
+    Requests in progress at the stop have `GRACEFUL_TIMEOUT_S` to end, so the caller
+    waits for those that take longer before it lets `stop` return.
+    """
+    config = Config()
+    config.bind = [str(address)]
+    config.loglevel = "WARNING"
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = GRACEFUL_TIMEOUT_S
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.keep_alive_timeout = 75.0
+    if tls is not None:
+        config.certfile = tls.certificate
+        config.keyfile = tls.key
+        if tls.authority:
+            config.ca_certs = tls.authority
+            config.verify_mode = ssl.CERT_REQUIRED
+    async with trio.open_nursery() as nursery:
+        binds = await nursery.start(_serve, application, config, stop)
+        port = int(binds[0].rpartition(":")[2])
+        task_status.started(Address(address.host, port))
+
+
+async def _serve(application: Any, config: Config, stop: Any, task_status: Any) -> None:
+    await serve(application, config, shutdown_trigger=stop, task_status=task_status)
+
+
+class HttpResponse(NamedTuple):
+    """A whole response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class HttpClient:
+    """Calls one upstream over a pool of kept connections.
+
+    Parameters
+    ----------
+    base_url : str
+        Scheme, IP number and port, such as ``http://127.0.0.1:8001``.
+    n_connections : int
+        Most connections open at once; further calls wait.
+    tls : ssl.SSLContext, optional
+        Context for ``https`` addresses.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        n_connections: int = 256,
+        tls: ssl.SSLContext | None = None,
+    ):
+        self._base_url = base_url.rstrip("/")
+        self._pool = httpcore.AsyncConnectionPool(
+            ssl_context=tls, max_connections=n_connections, keepalive_expiry=30.0
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        timeout_ms: float = 5000,
+    ) -> HttpResponse:
+        """Return the whole response; raises `UpstreamUnreachable`."""
+        async with self.stream(method, path, headers, body, timeout_ms) as response:
+            content = b"".join([chunk async for chunk in response.chunks()])
+        return HttpResponse(response.status, response.headers, content)
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        timeout_ms: float = 5000,
+    ) -> AsyncIterator[StreamedResponse]:
+        """Open a response whose body is read in parts.
+
+        Raises `UpstreamUnreachable`, whose `sent` tells whether the upstream may
+        have received the request. `timeout_ms` bounds each wait, not the whole.
+        """
+        timeout_s = timeout_ms / 1000
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+        encoded = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers or []]
+        if body and not any(n.lower() == b"content-length" for n, _ in encoded):
+            encoded.append((b"content-length", str(len(body)).encode()))
+        try:
+            async with self._pool.stream(
+                method,
+                self._base_url + path,
+                headers=encoded,
+                content=body or None,
+                extensions={"timeout": timeouts},
+            ) as response:
+                yield StreamedResponse(response)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise UpstreamUnreachable(str(error), sent=False) from error
+        except httpcore.PoolTimeout as error:
+            raise UpstreamUnreachable(str(error), sent=False) from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise UpstreamUnreachable(str(error), sent=True) from error
+
+
+class StreamedResponse:
+    """A response whose body is being received."""
+
+    def __init__(self, response: httpcore.Response):
+        self._response = response
+        self.status: int = response.status
+        self.headers: Headers = [
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in response.headers
+        ]
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body in parts, as they arrive."""
+        async for chunk in self._response.aiter_stream():
+            yield chunk
