--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -26,7 +26,14 @@
 from ..operations import OperationsService, operations_application
 from ..protocol import Peers, ProcessIdentity
 from ..protocol.identity import new_start_id
-from ..requests import AgentTable, Gateway, Relay
+from ..requests import (
+    Admission,
+    AgentTable,
+    AttemptLoop,
+    Gateway,
+    Relay,
+    Router,
+)
 from ..state import ConfigurationView, HttpObjectStore
 from ..telemetry import get_logger
 from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
@@ -62,7 +69,8 @@
     peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
     agents = AgentTable(peers)
     relay = Relay(peers)
-    gateway = Gateway(peers, relay, agents, view, lambda: _entry_addresses(hosts))
+    attempts = AttemptLoop(peers, relay, Router(agents))
+    gateway = Gateway(view, Admission(), attempts, lambda: _entry_addresses(hosts))
     operations = OperationsService(store, view)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -1,21 +1,27 @@
 """Carries callers' requests to upstreams and their answers back.
 
-On an entry host the `Gateway` takes callers' requests and the `Relay` runs attempts
-at agents. On an upstream host the `Executor` runs attempts at the upstream.
+On an entry host the `Gateway` takes callers' requests, `Admission` limits and queues
+them, the `Router` chooses agents, and the `AttemptLoop` runs attempts over the
+`Relay`. On an upstream host the `Executor` runs attempts at the upstream.
 """
 
+from .admission import Admission
+from .attempts import AttemptLoop
 from .execution import Executor, UpstreamSettings
 from .gateway import Gateway
 from .relay import AttemptStream, Relay
-from .routing import AgentTable, AgentView, choose_agent
+from .routing import AgentTable, AgentView, Router, choose_agent
 
 __all__ = [
+    "Admission",
     "AgentTable",
     "AgentView",
+    "AttemptLoop",
     "AttemptStream",
     "Executor",
     "Gateway",
     "Relay",
+    "Router",
     "UpstreamSettings",
     "choose_agent",
 ]
--- /dev/null
+++ b/poplarward/requests/admission.py
@@ -0,0 +1,40 @@
+"""Limits and queues that a request passes before it is sent to an upstream."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from ..errors import Refused
+from .caller import CallerRequest
+
+__all__ = ["Admission"]
+
+RETRY_AFTER_MS = 500
+
+
+class Admission:
+    """Admits as many requests at once as the entry host can hold.
+
+    Parameters
+    ----------
+    n_slots : int
+        Requests in progress at once.
+    """
+
+    def __init__(self, n_slots: int = 4096):
+        self._slots = trio.Semaphore(n_slots)
+
+    @asynccontextmanager
+    async def slot(self, request: CallerRequest) -> AsyncIterator[None]:
+        """Hold a slot for the length of a block; raises `Refused` without one."""
+        try:
+            self._slots.acquire_nowait()
+        except trio.WouldBlock:
+            raise Refused("the entry host is full", RETRY_AFTER_MS) from None
+        try:
+            yield
+        finally:
+            self._slots.release()
--- /dev/null
+++ b/poplarward/requests/caller.py
@@ -0,0 +1,33 @@
+"""A caller's request, once it was checked."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..errors import PoplarwardError
+from ..protocol.requests import PriorityClass
+
+__all__ = ["CallerError", "CallerRequest"]
+
+
+class CallerError(PoplarwardError):
+    """A request that can't be served as it is; carries its HTTP status."""
+
+    def __init__(self, status: int, reason: str):
+        super().__init__(reason)
+        self.status = status
+
+
+class CallerRequest(NamedTuple):
+    """A caller's request, checked and given its target and class."""
+
+    workspace: str
+    upstream: str
+    priority_class: PriorityClass
+    deadline_ms: int
+    repeatable: bool
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    idempotency_key: str
--- a/poplarward/requests/routing.py
+++ b/poplarward/requests/routing.py
@@ -9,8 +9,9 @@
 from ..protocol import Connection, Peers, ProcessIdentity
 from ..protocol.reports import AgentReport, UpstreamState
 from ..transport import Address
+from .caller import CallerRequest
 
-__all__ = ["AgentTable", "AgentView", "choose_agent"]
+__all__ = ["AgentTable", "AgentView", "Router", "choose_agent"]
 
 
 class AgentView(NamedTuple):
@@ -84,3 +85,29 @@
         held = self._reports.get(connection.identity.name)
         if held is not None and held[0].start_id == connection.identity.start_id:
             del self._reports[connection.identity.name]
+
+
+class Router:
+    """Chooses an agent for each attempt of a request.
+
+    Parameters
+    ----------
+    agents : AgentTable
+        The agents to choose from.
+    """
+
+    def __init__(self, agents: AgentTable, seed: int = 0):
+        self._agents = agents
+        self._rng = random.Random(seed)
+
+    def choose(
+        self, request: CallerRequest, excluded: frozenset[str] = frozenset()
+    ) -> AgentView | None:
+        """Return an agent that is not excluded by name, or None."""
+        views = self._agents.views(request.upstream)
+        candidates = [view for view in views if view.identity.name not in excluded]
+        return choose_agent(candidates, self._rng)
+
+    def add_in_flight(self, agent: str, change: int) -> None:
+        """Count an attempt at an agent in or out."""
+        self._agents.add_in_flight(agent, change)
--- a/poplarward/transport/http.py
+++ b/poplarward/transport/http.py
@@ -16,6 +16,7 @@
 from hypercorn.trio import serve
 
 from ..errors import BodyTooLarge, CallerGone, UpstreamUnreachable
+from ..telemetry import get_logger
 from .channels import Address
 
 __all__ = [
@@ -31,6 +32,8 @@
 GRACEFUL_TIMEOUT_S = 5.0
 MAX_HEADER_BYTES = 16 * 1024
 
+log = get_logger("http")
+
 Headers = list[tuple[str, str]]
 
 
@@ -161,7 +164,14 @@
             },
             receive=receive,
         )
-        await handler(request, Responder(send))
+        responder = Responder(send)
+        try:
+            await handler(request, responder)
+        except Exception:
+            log.exception("http.failed", method=request.method, path=request.path)
+            if responder.started:
+                raise
+            await responder.respond_json(500, {"error": "internal error"})
 
     return application
 
--- a/tests/programs/test_whole_path.py
+++ b/tests/programs/test_whole_path.py
@@ -4,6 +4,8 @@
 
 import json
 
+import trio
+
 from benchmarks.deployment import (
     Deployment,
     ledger_service,
@@ -39,8 +41,6 @@
 
 async def call_until_served(client, method, path, headers, body=b""):
     """Repeat a call that was refused as not run, as a caller would."""
-    import trio
-
     with trio.fail_after(20):
         while True:
             response = await client.call(method, path, headers, body)
