Learn the outcome of every conditional write

Cause: an answer of the object API may be lost after the write took effect; the client then could not tell a conflict with itself from one with another writer. Ruled out: sending again and believing the conflict; comparing contents; replaying the history for each lost answer (see docs/design/store.md). Change: Writer adds an operation id to the object and reads back after a missing answer, the store's history settles the rest; retries share a token bucket. The stand-in can carry a write out late, after it gave no answer.

--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -24,6 +24,7 @@
     "Refused",
     "StoreUnavailable",
     "UpstreamUnreachable",
+    "WriteUnknown",
 ]
 
 
@@ -95,6 +96,10 @@
         self.sent = sent
 
 
+class WriteUnknown(PoplarwardError):
+    """Whether a write to the object API took effect could not be learnt in time."""
+
+
 class Finding(NamedTuple):
     """One thing found wrong in an input, with its place.
 
--- a/poplarward/standins/object_store.py
+++ b/poplarward/standins/object_store.py
@@ -4,8 +4,9 @@
 
 import copy
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import trio
@@ -16,6 +17,7 @@
 __all__ = ["MemoryObjectStore", "StoreFaults"]
 
 MAX_HISTORY_EVENTS = 20_000
+LATE_WRITE_MS = 200.0
 
 
 @dataclass
@@ -30,6 +32,9 @@
         Time each call takes.
     lost_answers : float
         Probability that a write takes effect but its answer is lost.
+    late_writes : float
+        Probability that a write gets no answer and is carried out only after
+        `LATE_WRITE_MS`, if its condition still holds then.
     reads_per_s, writes_per_s : float
         Limits of the rate; calls beyond them are refused.
     """
@@ -37,6 +42,7 @@
     is_down: bool = False
     delay_ms: float = 2.0
     lost_answers: float = 0.0
+    late_writes: float = 0.0
     reads_per_s: float = 2000.0
     writes_per_s: float = 400.0
 
@@ -86,6 +92,7 @@
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._history: list[tuple[int, WatchEvent]] = []
         self._changed = trio.Event()
+        self._late: list[tuple[float, Callable[[], StoredObject]]] = []
         self._rng = random.Random(seed)
         self._reads: _Bucket | None = None
         self._writes: _Bucket | None = None
@@ -109,13 +116,25 @@
     ) -> StoredObject:
         """Write an object if it has the expected version, 0 if it must be new."""
         await self._write()
+        content = copy.deepcopy(spec)
+        if self._happens(self.faults.late_writes):
+            due = trio.current_time() + LATE_WRITE_MS / 1000
+            late = partial(self._put_now, kind, name, content, expected_version)
+            self._late.append((due, late))
+            raise StoreUnavailable("no answer in time")
+        stored = self._put_now(kind, name, content, expected_version)
+        self._maybe_lose_answer()
+        return copy.deepcopy(stored)
+
+    def _put_now(
+        self, kind: str, name: str, spec: dict[str, Any], expected_version: int
+    ) -> StoredObject:
         self._check_version(kind, name, expected_version)
         self.revision += 1
-        stored = StoredObject(kind, name, self.revision, copy.deepcopy(spec))
+        stored = StoredObject(kind, name, self.revision, spec)
         self._objects[(kind, name)] = stored
         self._publish(WatchEvent(False, stored))
-        self._maybe_lose_answer()
-        return copy.deepcopy(stored)
+        return stored
 
     async def delete(self, kind: str, name: str, expected_version: int) -> int:
         """Delete an object; returns the revision of the deletion."""
@@ -127,7 +146,9 @@
         self._maybe_lose_answer()
         return self.revision
 
-    async def watch(self, kind: str, after_revision: int) -> AsyncIterator[WatchEvent]:
+    async def watch(
+        self, kind: str, after_revision: int
+    ) -> AsyncGenerator[WatchEvent, None]:
         """Yield each change of a kind after a revision, in order."""
         await self._read()
         if self._history and after_revision < self._history[0][0] - 1:
@@ -147,6 +168,10 @@
         finally:
             self.counts.n_watches -= 1
 
+    def history(self) -> list[WatchEvent]:
+        """Return the changes that took effect, oldest first."""
+        return [event for _, event in self._history]
+
     def set_down(self, is_down: bool) -> None:
         """Begin or end an outage; an outage breaks off every watch."""
         self.faults.is_down = is_down
@@ -175,9 +200,20 @@
             raise ConflictError(f"{kind}/{name} has version {version}, not {expected}")
 
     def _maybe_lose_answer(self) -> None:
-        if self.faults.lost_answers and self._rng.random() < self.faults.lost_answers:
+        if self._happens(self.faults.lost_answers):
             raise StoreUnavailable("the answer was lost")
 
+    def _happens(self, probability: float) -> bool:
+        return probability > 0 and self._rng.random() < probability
+
+    def _settle_late_writes(self) -> None:
+        while self._late and self._late[0][0] <= trio.current_time():
+            _, put = self._late.pop(0)
+            try:
+                put()
+            except ConflictError:
+                pass
+
     async def _read(self) -> None:
         self.counts.n_reads += 1
         self._reads = self._reads or _Bucket()
@@ -190,6 +226,7 @@
 
     async def _call(self, within_rate: bool) -> None:
         await trio.sleep(self.faults.delay_ms / 1000)
+        self._settle_late_writes()
         if self.faults.is_down:
             raise StoreUnavailable("the object API is down")
         if not within_rate:
--- a/poplarward/state/__init__.py
+++ b/poplarward/state/__init__.py
@@ -1,10 +1,13 @@
 """What must last, kept in the platform's object API.
 
 `ObjectStore` is the interface of the object API and `HttpObjectStore` its client.
+`Writer` makes conditional writes whose effect is always known, and `RetryBudget`
+bounds the retries of a process.
 `resources` holds the kinds that operators declare, `ConfigurationView` the copy of
 them that a process has in force.
 """
 
+from .budget import Backoff, RetryBudget
 from .resources import (
     KINDS,
     CallSpec,
@@ -23,8 +26,10 @@
     StoredObject,
     WatchEvent,
 )
+from .writer import Writer
 
 __all__ = [
+    "Backoff",
     "KINDS",
     "CallSpec",
     "ConfigurationView",
@@ -34,9 +39,11 @@
     "ObjectStore",
     "PlainServiceSpec",
     "Resource",
+    "RetryBudget",
     "ServiceSpec",
     "StoredObject",
     "WatchEvent",
     "WorkspaceSpec",
+    "Writer",
     "check_spec",
 ]
--- a/poplarward/state/store.py
+++ b/poplarward/state/store.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Any, NamedTuple, Protocol
 
 from ..errors import ConflictError, NotFound, StoreUnavailable, UpstreamUnreachable
@@ -74,7 +74,7 @@
         """Delete an object; returns the revision of the deletion."""
         ...
 
-    def watch(self, kind: str, after_revision: int) -> AsyncIterator[WatchEvent]:
+    def watch(self, kind: str, after_revision: int) -> AsyncGenerator[WatchEvent, None]:
         """Yield each change of a kind after a revision, in order, until cancelled.
 
         Raises `ConflictError` if the revision is too old to go on from; list again.
@@ -122,7 +122,9 @@
         document = await self._call("DELETE", path)
         return int(document["metadata"]["resourceVersion"])
 
-    async def watch(self, kind: str, after_revision: int) -> AsyncIterator[WatchEvent]:
+    async def watch(
+        self, kind: str, after_revision: int
+    ) -> AsyncGenerator[WatchEvent, None]:
         """Yield each change of a kind after a revision, in order."""
         path = f"{API_PREFIX}/{kind}?watch=true&resourceVersion={after_revision}"
         try:
