Elect holders of control roles by leases, refuse former ones by fences

Cause: control roles need one holder on hosts that die, freeze, lose the store and have clocks of different rates; 312 groups must not cost a renewal each. Ruled out: a lease for each group (156 writes/s) or each entry host (500 writes/s), expiry times written by the holder, trusting the lease alone (docs/design/leases.md). Change: Lease, ControlRoles (64 slots, rendezvous over live entry hosts), FenceGuard and FenceKeeper. Not done here: a test with real processes, and the wiring into the entry host.

--- a/poplarward/coordination/__init__.py
+++ b/poplarward/coordination/__init__.py
@@ -1,10 +1,23 @@
 """Lets the processes of a deployment act together.
 
 `HostList` follows the platform's list of hosts. `ConfigurationFollower` keeps the
-configuration in force up to date.
+configuration in force up to date. `ControlRoles` says which control roles this host
+holds, by leases; a `FenceGuard` refuses the orders of a former holder.
 """
 
 from .configuration import ConfigurationFollower
+from .fencing import FenceGuard, FenceKeeper
 from .hosts import HostEntry, HostList
+from .leases import Lease, LeaseTiming
+from .roles import ControlRoles
 
-__all__ = ["ConfigurationFollower", "HostEntry", "HostList"]
+__all__ = [
+    "ConfigurationFollower",
+    "ControlRoles",
+    "FenceGuard",
+    "FenceKeeper",
+    "HostEntry",
+    "HostList",
+    "Lease",
+    "LeaseTiming",
+]
--- /dev/null
+++ b/poplarward/coordination/fencing.py
@@ -0,0 +1,146 @@
+"""Lets agents refuse orders of a holder whose lease has passed to another.
+
+Works for engines that check fencing numbers and for those that ignore them, since
+every order goes through the agent.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import trio
+
+from ..errors import NotFound, PoplarwardError, StaleFence, StoreUnavailable
+from ..protocol import Connection, Peers
+from ..protocol.fences import FenceQuery, FenceReply
+from ..state import ObjectStore
+from ..telemetry import get_logger
+from ..transport import Address
+from .leases import LEASES_KIND, fence_of
+
+__all__ = ["FenceGuard", "FenceKeeper"]
+
+LEARN_INTERVAL_MS = 1000.0
+QUERY_TIMEOUT_MS = 1000.0
+
+log = get_logger("fencing")
+
+
+class FenceGuard:
+    """The greatest fencing number seen for one scope, such as a model group.
+
+    Examples
+    --------
+    >>> guard = FenceGuard("drafts")
+    >>> guard.learn(7)
+    >>> guard.check(9)
+    >>> guard.check(8)
+    Traceback (most recent call last):
+    ...
+    poplarward.errors.StaleFence: drafts: fence 8 is older than 9
+    """
+
+    def __init__(self, scope: str):
+        self.scope = scope
+        self.greatest: int | None = None
+
+    def learn(self, fence: int) -> None:
+        """Note a number that the store or the scope's other agents know."""
+        self.greatest = max(fence, self.greatest or 0)
+
+    def check(self, fence: int) -> None:
+        """Accept an order's number; raises `StaleFence`.
+
+        A process that has just started has seen no number, so it refuses every
+        order until it learnt the greatest one.
+        """
+        if self.greatest is None:
+            raise StaleFence(f"{self.scope}: the greatest fence is not known yet")
+        if fence < self.greatest:
+            raise StaleFence(
+                f"{self.scope}: fence {fence} is older than {self.greatest}"
+            )
+        self.greatest = fence
+
+
+class FenceKeeper:
+    """Learns a guard's number after a start, and tells it to the scope's agents.
+
+    The store's number is enough, as it is read after the start. If the store does
+    not answer, the numbers of all other agents of the scope are, because an order
+    that concerns the whole scope only takes effect once all of them have taken it.
+
+    Parameters
+    ----------
+    lease_name : str
+        Lease that the scope's orders are given under.
+    peer_addresses : callable
+        Returns the addresses of all other agents of the scope, None while they are
+        not known.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        store: ObjectStore,
+        scope: str,
+        lease_name: str,
+        peer_addresses: Callable[[], Iterable[Address] | None],
+    ):
+        self.guard = FenceGuard(scope)
+        self.learnt = trio.Event()
+        self._peers = peers
+        self._store = store
+        self._lease_name = lease_name
+        self._peer_addresses = peer_addresses
+        peers.register(FenceQuery, self._on_query)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to learn the number."""
+        nursery.start_soon(self._learn)
+
+    async def _learn(self) -> None:
+        while True:
+            fence = await self._fence_of_store()
+            if fence is None:
+                fence = await self._fence_of_peers()
+            if fence is not None:
+                break
+            await trio.sleep(LEARN_INTERVAL_MS / 1000)
+        self.guard.learn(fence)
+        self.learnt.set()
+        log.info("fence.learnt", scope=self.guard.scope, fence=self.guard.greatest)
+
+    async def _fence_of_store(self) -> int | None:
+        try:
+            return fence_of(await self._store.get(LEASES_KIND, self._lease_name))
+        except NotFound:
+            return 0
+        except StoreUnavailable:
+            return None
+
+    async def _fence_of_peers(self) -> int | None:
+        """Return the greatest number of all peers, None unless all know theirs."""
+        addresses = self._peer_addresses()
+        if addresses is None:
+            return None
+        replies: list[int | None] = []
+
+        async def ask(address: Address) -> None:
+            query = FenceQuery(self.guard.scope)
+            try:
+                reply = await self._peers.call(address, query, QUERY_TIMEOUT_MS)
+            except PoplarwardError:
+                replies.append(None)
+            else:
+                replies.append(reply.fence)
+
+        async with trio.open_nursery() as nursery:
+            for address in addresses:
+                nursery.start_soon(ask, address)
+        known = [fence for fence in replies if fence is not None]
+        return max(known) if known and len(known) == len(replies) else None
+
+    async def _on_query(self, connection: Connection, query: FenceQuery) -> FenceReply:
+        known = query.scope == self.guard.scope
+        return FenceReply(self.guard.greatest if known else None)
--- /dev/null
+++ b/poplarward/coordination/roles.py
@@ -0,0 +1,172 @@
+"""Says which entry host holds which control role.
+
+Roles hash to a fixed number of slots, and a slot is one lease: however many model
+groups there are, the renewals cost as many writes as there are slots with roles. The
+slots go to live entry hosts by rendezvous hashing, so they spread, and only those of
+a host that comes or goes move.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import trio
+import xxhash
+
+from ..hashing import rendezvous_ranking
+from ..protocol import ProcessIdentity
+from ..state import ObjectStore, Writer
+from ..telemetry import get_logger
+from .leases import Lease, LeaseCandidate, LeaseTiming
+
+__all__ = ["ControlRoles", "holder_name", "slot_of"]
+
+N_SLOTS = 64
+N_CANDIDATES = 3
+REVIEW_INTERVAL_MS = 500.0
+
+log = get_logger("roles")
+
+
+def slot_of(role: str, n_slots: int = N_SLOTS) -> str:
+    """Return the name of the lease that a control role belongs to.
+
+    Examples
+    --------
+    >>> slot_of("map/drafts") == slot_of("map/drafts")
+    True
+    """
+    slot = xxhash.xxh3_64_intdigest(role.encode()) % n_slots
+    return f"slot-{slot}-of-{n_slots}"
+
+
+def holder_name(identity: ProcessIdentity) -> str:
+    """Return the name by which one start of a process holds leases."""
+    return f"{identity.name}:{identity.start_id:x}"
+
+
+class ControlRoles:
+    """The control roles that this entry host holds.
+
+    Parameters
+    ----------
+    live_entries : callable
+        Returns the names of the entry hosts that are live, this one included
+        unless it is leaving.
+    roles : callable
+        Returns every role there is to hold.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        writer: Writer,
+        identity: ProcessIdentity,
+        live_entries: Callable[[], Iterable[str]],
+        roles: Callable[[], Iterable[str]],
+        timing: LeaseTiming | None = None,
+        n_slots: int = N_SLOTS,
+        clock: Callable[[], float] = trio.current_time,
+    ):
+        self._store = store
+        self._writer = writer
+        self._identity = identity
+        self._live_entries = live_entries
+        self._roles = roles
+        self._timing = timing
+        self._n_slots = n_slots
+        self._clock = clock
+        self._leases: dict[str, Lease] = {}
+        self._entries: set[str] = set()
+        self._ranks: dict[str, int | None] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def fence(self, role: str) -> int | None:
+        """Return the fencing number if this host surely holds the role now."""
+        lease = self._leases.get(slot_of(role, self._n_slots))
+        return None if lease is None else lease.fence
+
+    def held_slots(self) -> list[str]:
+        """Return the slots that this host surely holds now."""
+        return [name for name, lease in self._leases.items() if lease.fence is not None]
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to compete for the slots that this host is a candidate for."""
+        self._nursery = nursery
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Give up every role, so that others take over at once."""
+        async with trio.open_nursery() as nursery:
+            for lease in self._leases.values():
+                nursery.start_soon(lease.close)
+        self._leases.clear()
+        self._nursery = None
+
+    async def _run(self) -> None:
+        while self._nursery is not None:
+            await self._review()
+            await trio.sleep(REVIEW_INTERVAL_MS / 1000)
+
+    async def _review(self) -> None:
+        slots = {slot_of(role, self._n_slots) for role in self._roles()}
+        self._update_ranks(slots)
+        for slot in sorted(slots):
+            if slot not in self._leases and self._ranks[slot] is not None:
+                await self._start_lease(slot)
+        for slot, lease in list(self._leases.items()):
+            if self._ranks.get(slot) is None and lease.fence is None:
+                del self._leases[slot]
+                await lease.close()
+
+    def _update_ranks(self, slots: set[str]) -> None:
+        """Rank this host for each slot; only what changed is worked out again."""
+        entries = set(self._live_entries())
+        if entries != self._entries:
+            self._entries = entries
+            self._ranks.clear()
+        for slot in self._ranks.keys() - slots:
+            del self._ranks[slot]
+        for slot in slots - self._ranks.keys():
+            self._ranks[slot] = self._rank(slot)
+
+    async def _start_lease(self, slot: str) -> None:
+        candidate = LeaseCandidate(
+            lambda: self._ranks.get(slot),
+            lambda holder: self._is_before(slot, self._identity.name, holder),
+            lambda asker: self._is_before(slot, _entry_of(asker), self._identity.name),
+        )
+        lease = Lease(
+            self._store,
+            slot,
+            holder_name(self._identity),
+            writer=self._writer,
+            timing=self._timing,
+            candidate=candidate,
+            clock=self._clock,
+        )
+        self._leases[slot] = lease
+        assert self._nursery is not None
+        await lease.start(self._nursery)
+
+    def _rank(self, slot: str) -> int | None:
+        """Return how many live entry hosts go before this one, None if too many."""
+        if self._identity.name not in self._entries:
+            return None
+        rank = rendezvous_ranking(slot, self._entries).index(self._identity.name)
+        return rank if rank < N_CANDIDATES else None
+
+    def _is_before(self, slot: str, first: str, second: str) -> bool:
+        """Tell whether a host goes before another; both must be live here.
+
+        The order of two names does not depend on who else is live, so two hosts
+        with different lists never ask each other for the same slot in turn.
+        """
+        first, second = _entry_of(first), _entry_of(second)
+        if not {first, second} <= self._entries:
+            return False
+        return first != second and rendezvous_ranking(slot, [first, second])[0] == first
+
+
+def _entry_of(holder: str) -> str:
+    return holder.rpartition(":")[0] or holder
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -22,6 +22,7 @@
     "PeerUnreachable",
     "PoplarwardError",
     "Refused",
+    "StaleFence",
     "StoreUnavailable",
     "UpstreamUnreachable",
     "WriteUnknown",
@@ -56,6 +57,10 @@
     """A peer did not answer a call in time."""
 
 
+class StaleFence(PoplarwardError):
+    """An order was refused because a newer holder of the lease may have given one."""
+
+
 class StoreUnavailable(PoplarwardError):
     """The platform's object API gave no usable answer."""
 
--- /dev/null
+++ b/tests/coordination/test_fencing.py
@@ -0,0 +1,109 @@
+"""An agent takes no order older than one that it, or its group, took before."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from poplarward.coordination.fencing import FenceGuard, FenceKeeper
+from poplarward.coordination.leases import Lease
+from poplarward.errors import StaleFence
+from poplarward.protocol import Peers, ProcessIdentity
+from poplarward.standins.object_store import MemoryObjectStore
+from poplarward.transport import Address, LinkFaults, MemoryNetwork
+
+
+async def test_paused_holder_is_refused_after_it_wakes(autojump_clock, nursery):
+    store = MemoryObjectStore()
+    guard = FenceGuard("drafts")
+    guard.learn(0)
+    first = Lease(store, "slot-0", "a:1")
+    await first.start(nursery)
+    await trio.sleep(1)
+    # It looks at its fence, and is paused before it gives the order.
+    old_fence = first.fence
+    guard.check(old_fence)
+    first._scope.cancel()
+    second = Lease(store, "slot-0", "b:1")
+    await second.start(nursery)
+    await trio.sleep(10)
+    guard.check(second.fence)
+    with pytest.raises(StaleFence):
+        guard.check(old_fence)
+    guard.check(second.fence)
+    nursery.cancel_scope.cancel()
+
+
+class Group:
+    """Agents of one group on a memory network."""
+
+    def __init__(self, n_agents):
+        self.cut = set()
+        faults = LinkFaults(is_cut=lambda a, b: bool(self.cut & {a, b}))
+        self.network = MemoryNetwork(faults)
+        self.store = MemoryObjectStore()
+        self.hosts = [f"10.0.0.{i}" for i in range(n_agents)]
+
+    async def start_agent(self, nursery, i):
+        host = self.hosts[i]
+        address = Address(host, 9000)
+        identity = ProcessIdentity("agent", f"agent-{i}", i, address, "rennes")
+        peers = Peers(self.network.host(host), identity, "s")
+        others = [Address(other, 9000) for other in self.hosts if other != host]
+        keeper = FenceKeeper(peers, self.store, "drafts", "slot-0", lambda: others)
+        await peers.start(nursery)
+        await keeper.start(nursery)
+        return keeper
+
+
+async def test_restarted_agent_learns_from_the_store(autojump_clock, nursery):
+    group = Group(1)
+    lease = Lease(group.store, "slot-0", "a:1")
+    await lease.start(nursery)
+    await trio.sleep(5)
+    keeper = await group.start_agent(nursery, 0)
+    with pytest.raises(StaleFence):
+        keeper.guard.check(lease.fence)
+    await keeper.learnt.wait()
+    keeper.guard.check(lease.fence)
+    with pytest.raises(StaleFence):
+        keeper.guard.check(lease.fence - 1)
+    nursery.cancel_scope.cancel()
+
+
+async def test_restarted_agent_needs_every_peer_without_the_store(
+    autojump_clock, nursery
+):
+    group = Group(3)
+    peers = [await group.start_agent(nursery, i) for i in (1, 2)]
+    await trio.sleep(1)
+    peers[0].guard.check(5)
+    peers[1].guard.check(8)
+    group.store.set_down(True)
+    group.cut.add(group.hosts[2])
+    keeper = await group.start_agent(nursery, 0)
+    await trio.sleep(30)
+    # The one peer that answers has seen 5 only; an order with 6 may be stale.
+    with pytest.raises(StaleFence):
+        keeper.guard.check(6)
+    group.cut.clear()
+    await keeper.learnt.wait()
+    with pytest.raises(StaleFence):
+        keeper.guard.check(7)
+    keeper.guard.check(8)
+    nursery.cancel_scope.cancel()
+
+
+async def test_whole_group_restarted_without_the_store_waits_for_it(
+    autojump_clock, nursery
+):
+    group = Group(2)
+    group.store.set_down(True)
+    keepers = [await group.start_agent(nursery, i) for i in range(2)]
+    await trio.sleep(60)
+    assert not any(keeper.learnt.is_set() for keeper in keepers)
+    group.store.set_down(False)
+    with trio.fail_after(5):
+        for keeper in keepers:
+            await keeper.learnt.wait()
+    nursery.cancel_scope.cancel()
