Metrics per workspace and class, readiness, checked caller requests

Cause: nothing showed what callers experience; authentication walked all workspaces on each request; query strings were dropped; a path with dot segments could be read by an upstream as another call than the one checked.

Change: histograms with a bounded number of workspace labels, /metrics, /healthz and /readyz listeners, an index of tokens and models rebuilt on change, checks of body, path and key with a status each, and fuzzing of both decoders.

Measured: 15 kinds of bad input get their status while other callers are served; the query test failed before (the path arrived without its query) and passes now.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -133,6 +133,7 @@
             "callers_listen": f"{host}:8000",
             "operators_listen": f"{host}:8100",
             "peers_listen": f"{host}:9000",
+            "metrics_listen": f"{host}:9100",
             "platform_url": self.platform_url,
             "peer_secret": PEER_SECRET,
             "operator_tokens": {"demo": OPERATOR_TOKEN},
--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -20,13 +20,15 @@
 from __future__ import annotations
 
 import trio
+from prometheus_client import REGISTRY, generate_latest
 
 from ..protocol import Peers, ProcessIdentity
 from ..protocol.identity import new_start_id
-from ..protocol.reports import UpstreamKind
+from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
 from ..telemetry import get_logger
-from ..transport import Address, WebSocketNetwork
+from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from .monitoring import Monitoring
 from .settings import AgentSettings
 from .startup import load, wait_for_stop
 
@@ -59,9 +61,17 @@
     )
     peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
     executor = Executor(peers, upstream)
+    monitoring = Monitoring(
+        lambda: generate_latest(REGISTRY), lambda: _missing(executor)
+    )
     async with trio.open_nursery() as nursery:
         await executor.start(nursery)
         await peers.start(nursery)
+        await nursery.start(
+            serve_http,
+            asgi_application(monitoring.handle),
+            Address.parse(settings["metrics_listen"]),
+        )
         log.info("agent.started", name=settings["name"], upstream=upstream.name)
         await wait_for_stop(lambda: executor.n_attempts)
         await executor.drain()
@@ -70,5 +80,12 @@
         nursery.cancel_scope.cancel()
 
 
+def _missing(executor: Executor) -> list[str]:
+    """Return what keeps the agent from taking work."""
+    if executor.state is UpstreamState.LIVE:
+        return []
+    return [f"the agent is {executor.state}"]
+
+
 if __name__ == "__main__":
     main()
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -35,8 +35,9 @@
     Router,
 )
 from ..state import ConfigurationView, HttpObjectStore
-from ..telemetry import get_logger
+from ..telemetry import RequestMetrics, get_logger
 from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from .monitoring import Monitoring
 from .settings import EntrySettings
 from .startup import load, wait_for_stop
 
@@ -70,13 +71,23 @@
     agents = AgentTable(peers)
     relay = Relay(peers)
     attempts = AttemptLoop(peers, relay, Router(agents))
-    gateway = Gateway(view, Admission(), attempts, lambda: _entry_addresses(hosts))
+    metrics = RequestMetrics()
+    gateway = Gateway(
+        view, Admission(), attempts, lambda: _entry_addresses(hosts), metrics
+    )
+    monitoring = Monitoring(metrics.render, lambda: _missing(follower, hosts, peers))
     operations = OperationsService(store, view)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
         await follower.start(nursery)
         nursery.start_soon(_connect_agents, hosts, peers)
+        if "metrics_listen" in settings:
+            await nursery.start(
+                serve_http,
+                asgi_application(monitoring.handle),
+                Address.parse(settings["metrics_listen"]),
+            )
         await follower.ready.wait()
         await nursery.start(
             serve_http,
@@ -112,6 +123,18 @@
         log.debug("agent.unreachable", address=str(address), reason=str(error))
 
 
+def _missing(
+    follower: ConfigurationFollower, hosts: HostList, peers: Peers
+) -> list[str]:
+    """Return what keeps the entry host from serving."""
+    missing = []
+    if not follower.ready.is_set():
+        missing.append("no configuration is in force yet")
+    if hosts.with_role("agent") and not peers.n_links:
+        missing.append("no agent is connected")
+    return missing
+
+
 def _entry_addresses(hosts: HostList) -> list[Address]:
     return [
         Address.parse(host.callers_address)
--- a/poplarward/programs/settings.py
+++ b/poplarward/programs/settings.py
@@ -38,6 +38,7 @@
     platform_url: str
     peer_secret: str
     operator_tokens: dict[str, str]
+    metrics_listen: NotRequired[str]
     callers_tls: NotRequired[TlsSettings]
     operators_tls: NotRequired[TlsSettings]
     peers_tls: NotRequired[TlsSettings]
--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -231,6 +231,11 @@
         for connection in list(self.accepted):
             await connection.close()
 
+    @property
+    def n_links(self) -> int:
+        """Outgoing connections that are open."""
+        return sum(link.connection is not None for link in self._links.values())
+
     async def connection(self, address: Address) -> Connection:
         """Return the open connection to an address; raises `PeerUnreachable`."""
         link = self._links.get(address)
--- /dev/null
+++ b/poplarward/requests/directory.py
@@ -0,0 +1,96 @@
+"""Finds what a caller's request refers to in the configuration in force."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+from ..protocol.requests import PriorityClass
+from ..state import ConfigurationView
+from .caller import CallerError
+
+__all__ = ["Directory"]
+
+
+class Directory:
+    """Index of the configuration by what callers send.
+
+    It is rebuilt after a change of the configuration, on the next look-up, so that a
+    look-up costs the same for ten workspaces as for thousands.
+
+    Parameters
+    ----------
+    configuration : ConfigurationView
+        What is in force.
+    """
+
+    def __init__(self, configuration: ConfigurationView):
+        self._configuration = configuration
+        self._built_at_change = -1
+        self._workspace_of_digest: dict[str, str] = {}
+        self._group_of_model: dict[str, str] = {}
+
+    def workspace(self, authorization: str) -> str:
+        """Return the workspace of an ``Authorization`` header's bearer token."""
+        self._refresh()
+        scheme, _, token = authorization.partition(" ")
+        digest = hashlib.sha256(token.encode("latin-1")).hexdigest()
+        name = self._workspace_of_digest.get(digest)
+        if scheme.lower() != "bearer" or name is None:
+            raise CallerError(401, "no workspace has this credential")
+        return name
+
+    def model_group(self, model: Any) -> str:
+        """Return the model group that serves a model."""
+        self._refresh()
+        name = self._group_of_model.get(model) if isinstance(model, str) else None
+        if name is None:
+            raise CallerError(404, f"no model group serves {str(model)[:80]!r}")
+        return name
+
+    def is_repeatable(self, plain_service: str, method: str, path: str) -> bool:
+        """Return whether running a call of a plain service twice does no harm."""
+        spec = self._configuration.get("plainservices", plain_service)
+        if spec is None:
+            raise CallerError(404, f"no plain service {plain_service[:80]!r}")
+        for call in spec["calls"]:
+            if call["method"] == method and _is_below(path, call["path_prefix"]):
+                return call["repeatable"]
+        return False
+
+    def service(self, workspace: str, name: str, upstream: str) -> Any:
+        """Return the calling service that a request names, None if it names none."""
+        if not name:
+            return None
+        spec = self._configuration.get("services", name)
+        if spec is None:
+            raise CallerError(404, f"no service {name[:80]!r}")
+        if spec["upstream"] != upstream:
+            raise CallerError(403, f"service {name} does not call {upstream}")
+        allowed = self._configuration.get("workspaces", workspace)["services"]
+        if allowed and name not in allowed:
+            raise CallerError(403, f"workspace {workspace} does not have {name}")
+        return spec
+
+    def priority_class(self, service: Any, default: PriorityClass) -> PriorityClass:
+        """Return the class of a calling service, the default without one."""
+        return PriorityClass(service["priority_class"]) if service else default
+
+    def _refresh(self) -> None:
+        if self._built_at_change == self._configuration.n_changes:
+            return
+        self._built_at_change = self._configuration.n_changes
+        self._workspace_of_digest = {
+            digest: name
+            for name, spec in self._configuration.specs("workspaces")
+            for digest in spec["token_sha256"]
+        }
+        self._group_of_model = {
+            spec["model"]: name
+            for name, spec in self._configuration.specs("modelgroups")
+        }
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    prefix = prefix.rstrip("/")
+    return path == prefix or path.startswith((prefix + "/", prefix + "?"))
--- /dev/null
+++ b/poplarward/requests/reading.py
@@ -0,0 +1,116 @@
+"""Reads and checks a caller's HTTP request."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, NamedTuple
+
+import trio
+
+from ..protocol.requests import PriorityClass
+from ..transport import HttpRequest
+from .caller import CallerError, CallerRequest
+from .directory import Directory
+
+__all__ = ["read_caller_request"]
+
+MAX_BODY_BYTES = 256 * 1024
+BODY_TIMEOUT_S = 10.0
+DEFAULT_DEADLINE_MS = {PriorityClass.URGENT: 5_000, PriorityClass.DRAFTING: 60_000}
+MAX_KEY_CHARACTERS = 200
+FORWARDED_HEADERS = ("content-type", "accept", "idempotency-key")
+SERVICES_PREFIX = "/v1/services/"
+
+
+class _Target(NamedTuple):
+    """Where a request goes, read off its path and body."""
+
+    upstream: str
+    path: str
+    repeatable: bool
+    default_class: PriorityClass
+
+
+async def read_caller_request(
+    request: HttpRequest, directory: Directory
+) -> CallerRequest:
+    """Return the request, checked and given its target and class.
+
+    Raises `CallerError` with the HTTP status of the refusal, `BodyTooLarge`, or
+    `CallerGone`.
+    """
+    workspace = directory.workspace(request.headers.get("authorization", ""))
+    body = await _read_body(request)
+    target = _read_target(request, body, directory)
+    service_name = request.headers.get("poplarward-service", "")
+    service = directory.service(workspace, service_name, target.upstream)
+    priority_class = directory.priority_class(service, target.default_class)
+    deadline_ms = (
+        service["deadline_ms"] if service else DEFAULT_DEADLINE_MS[priority_class]
+    )
+    return CallerRequest(
+        workspace=workspace,
+        upstream=target.upstream,
+        priority_class=priority_class,
+        deadline_ms=deadline_ms,
+        repeatable=target.repeatable,
+        method=request.method,
+        path=target.path,
+        headers=[
+            (name, request.headers[name])
+            for name in FORWARDED_HEADERS
+            if name in request.headers
+        ],
+        body=body,
+        idempotency_key=_read_key(request),
+    )
+
+
+async def _read_body(request: HttpRequest) -> bytes:
+    with trio.move_on_after(BODY_TIMEOUT_S):
+        return await request.body(MAX_BODY_BYTES)
+    raise CallerError(408, f"the body did not arrive within {BODY_TIMEOUT_S:g} s")
+
+
+def _read_target(request: HttpRequest, body: bytes, directory: Directory) -> _Target:
+    if (request.method, request.path) == ("POST", "/v1/completions"):
+        group = directory.model_group(_read_completion(body)["model"])
+        return _Target(group, request.target, True, PriorityClass.DRAFTING)
+    if not request.target.startswith(SERVICES_PREFIX):
+        raise CallerError(404, f"no such path: {request.path[:80]}")
+    name, _, rest = request.target.removeprefix(SERVICES_PREFIX).partition("/")
+    path = "/" + rest
+    _check_path(path)
+    repeatable = directory.is_repeatable(name, request.method, path)
+    return _Target(name, path, repeatable, PriorityClass.URGENT)
+
+
+def _read_completion(body: bytes) -> dict[str, Any]:
+    """Return a completion's document, its fields checked for type."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        raise CallerError(400, "the body is not JSON") from None
+    if not isinstance(document, dict):
+        raise CallerError(400, "the body is not a JSON object")
+    for name, kind in (("model", str), ("prompt", str)):
+        if not isinstance(document.get(name), kind):
+            raise CallerError(400, f"{name!r} is missing or not a string")
+    max_tokens = document.get("max_tokens", 1)
+    if not isinstance(max_tokens, int) or max_tokens < 1:
+        raise CallerError(400, "'max_tokens' is not a positive integer")
+    return document
+
+
+def _check_path(path: str) -> None:
+    """Refuse paths that the upstream may read as another call."""
+    route = path.partition("?")[0]
+    if "//" in route or "%" in route or any(s in (".", "..") for s in route.split("/")):
+        raise CallerError(400, "the path has empty, dot or encoded segments")
+
+
+def _read_key(request: HttpRequest) -> str:
+    key = request.headers.get("idempotency-key", "")
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise CallerError(400, f"the key is over {MAX_KEY_CHARACTERS} characters")
+    return key
--- a/poplarward/state/resources.py
+++ b/poplarward/state/resources.py
@@ -140,10 +140,13 @@
     ----------
     revision : int
         Every change up to this revision of the store is in force.
+    n_changes : int
+        Rises whenever a resource was put in force.
     """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.n_changes = 0
         self._resources: dict[tuple[str, str], Resource] = {}
 
     def apply(self, resource: Resource) -> bool:
@@ -153,6 +156,7 @@
         if held is not None and held.version >= resource.version:
             return False
         self._resources[key] = resource
+        self.n_changes += 1
         return True
 
     def advance(self, revision: int) -> None:
--- a/poplarward/telemetry/__init__.py
+++ b/poplarward/telemetry/__init__.py
@@ -5,5 +5,12 @@
 """
 
 from .logs import configure_logs, get_logger
+from .metrics import GroupMetrics, RequestMetrics, RequestTimer
 
-__all__ = ["configure_logs", "get_logger"]
+__all__ = [
+    "GroupMetrics",
+    "RequestMetrics",
+    "RequestTimer",
+    "configure_logs",
+    "get_logger",
+]
--- /dev/null
+++ b/poplarward/telemetry/metrics.py
@@ -0,0 +1,158 @@
+"""Histograms and counters per workspace and class."""
+
+from __future__ import annotations
+
+import trio
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+__all__ = ["GroupMetrics", "RequestMetrics", "RequestTimer"]
+
+MAX_LABELLED_WORKSPACES = 200
+OTHER_WORKSPACES = "other"
+
+_LABELS = ("workspace", "priority_class")
+_SHORT_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.044, 0.1, 0.25, 1.0)
+_LONG_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
+_SKEW_BUCKETS = (1.02, 1.05, 1.1, 1.2, 1.5, 2.0, 4.0)
+
+
+class RequestMetrics:
+    """What callers of an entry host experience.
+
+    Only the first `MAX_LABELLED_WORKSPACES` workspaces seen get a label of their
+    own, so that memory stays bounded; the others share one.
+
+    Examples
+    --------
+    >>> metrics = RequestMetrics()
+    >>> metrics.count_outcome("ateliers", "urgent", "ran")
+    >>> b'outcome="ran"' in metrics.render()
+    True
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._labelled: set[str] = set()
+
+        def histogram(name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+            return Histogram(
+                f"poplarward_{name}_seconds",
+                text,
+                _LABELS,
+                registry=self.registry,
+                buckets=buckets,
+            )
+
+        self._queue_wait = histogram(
+            "queue_wait", "Time before a request was sent to an agent", _SHORT_BUCKETS_S
+        )
+        self._first_token = histogram(
+            "time_to_first_token", "Time to the first piece", _LONG_BUCKETS_S
+        )
+        self._between_tokens = histogram(
+            "time_between_tokens", "Time between pieces", _SHORT_BUCKETS_S
+        )
+        self._whole_answer = histogram(
+            "whole_answer", "Time to the end of the answer", _LONG_BUCKETS_S
+        )
+        self._outcomes = Counter(
+            "poplarward_requests",
+            "Requests by outcome",
+            (*_LABELS, "outcome"),
+            registry=self.registry,
+        )
+        self.open_requests = Gauge(
+            "poplarward_open_requests", "Requests in progress", registry=self.registry
+        )
+
+    def timer(self, workspace: str, priority_class: str) -> RequestTimer:
+        """Return a timer for one request, started now."""
+        label = self._label(workspace)
+        return RequestTimer(
+            self._queue_wait.labels(label, priority_class),
+            self._first_token.labels(label, priority_class),
+            self._between_tokens.labels(label, priority_class),
+            self._whole_answer.labels(label, priority_class),
+        )
+
+    def count_outcome(self, workspace: str, priority_class: str, outcome: str) -> None:
+        """Count a request that has got its final answer."""
+        self._outcomes.labels(self._label(workspace), priority_class, outcome).inc()
+
+    def render(self) -> bytes:
+        """Return the metrics in Prometheus' text format."""
+        return generate_latest(self.registry)
+
+    def _label(self, workspace: str) -> str:
+        if workspace in self._labelled:
+            return workspace
+        if len(self._labelled) < MAX_LABELLED_WORKSPACES:
+            self._labelled.add(workspace)
+            return workspace
+        return OTHER_WORKSPACES
+
+
+class RequestTimer:
+    """Times one request from its arrival to the end of its answer."""
+
+    def __init__(
+        self,
+        queue_wait: Histogram,
+        first_token: Histogram,
+        between_tokens: Histogram,
+        whole_answer: Histogram,
+    ):
+        self._queue_wait = queue_wait
+        self._first_token = first_token
+        self._between_tokens = between_tokens
+        self._whole_answer = whole_answer
+        self._started_at = trio.current_time()
+        self._last_piece_at: float | None = None
+
+    def admitted(self) -> None:
+        """Note that the request left its queue."""
+        self._queue_wait.observe(trio.current_time() - self._started_at)
+
+    def piece(self) -> None:
+        """Note that a piece was sent to the caller."""
+        now = trio.current_time()
+        if self._last_piece_at is None:
+            self._first_token.observe(now - self._started_at)
+        else:
+            self._between_tokens.observe(now - self._last_piece_at)
+        self._last_piece_at = now
+
+    def ended(self) -> None:
+        """Note the end of the answer."""
+        self._whole_answer.observe(trio.current_time() - self._started_at)
+
+
+class GroupMetrics:
+    """Steps of the model groups that a process sees."""
+
+    def __init__(self, registry: CollectorRegistry):
+        self._step_time = Histogram(
+            "poplarward_step_seconds",
+            "Time of a step of a model group",
+            ("group",),
+            registry=registry,
+            buckets=_SHORT_BUCKETS_S,
+        )
+        self._skew = Histogram(
+            "poplarward_step_skew_ratio",
+            "Greatest rank's work in a step over the mean",
+            ("group",),
+            registry=registry,
+            buckets=_SKEW_BUCKETS,
+        )
+
+    def observe_step(self, group: str, step_ms: float, skew_ratio: float) -> None:
+        """Note one step of a group."""
+        self._step_time.labels(group).observe(step_ms / 1000)
+        self._skew.labels(group).observe(skew_ratio)
--- a/poplarward/transport/http.py
+++ b/poplarward/transport/http.py
@@ -55,10 +55,19 @@
 
 @dataclass
 class HttpRequest:
-    """A request that a listener received; its body is not read yet."""
+    """A request that a listener received; its body is not read yet.
+
+    Attributes
+    ----------
+    path : str
+        The decoded path.
+    target : str
+        Path and query as they were sent.
+    """
 
     method: str
     path: str
+    target: str
     query: dict[str, str]
     headers: dict[str, str]
     receive: Callable[[], Awaitable[dict[str, Any]]]
@@ -97,7 +106,7 @@
     """Sends the one response to a request."""
 
     def __init__(self, send: Callable[[dict[str, Any]], Awaitable[None]]):
-        self._send = send
+        self.send = send
         self.started = False
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -106,19 +115,17 @@
         encoded = [
             (n.lower().encode("latin-1"), v.encode("latin-1")) for n, v in headers
         ]
-        await self._send(
+        await self.send(
             {"type": "http.response.start", "status": status, "headers": encoded}
         )
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
+        await self.send({"type": "http.response.body", "body": data, "more_body": True})
 
     async def finish(self, data: bytes = b"") -> None:
         """Send the last part of the body."""
-        await self._send({"type": "http.response.body", "body": data})
+        await self.send({"type": "http.response.body", "body": data})
 
     async def respond(
         self,
@@ -157,6 +164,7 @@
         request = HttpRequest(
             method=scope["method"],
             path=scope["path"],
+            target=_target(scope),
             query={name: values[-1] for name, values in query.items()},
             headers={
                 name.decode("latin-1").lower(): value.decode("latin-1")
@@ -176,6 +184,12 @@
     return application
 
 
+def _target(scope: dict[str, Any]) -> str:
+    target = scope["raw_path"].decode("latin-1")
+    query = scope["query_string"].decode("latin-1")
+    return f"{target}?{query}" if query else target
+
+
 async def _answer_lifespan(receive: Any, send: Any) -> None:
     while True:
         event = await receive()
--- a/tests/protocol/test_peers.py
+++ b/tests/protocol/test_peers.py
@@ -1,9 +1,14 @@
 from __future__ import annotations
 
+import contextlib
+
+import cbor2
 import pytest
 import trio
+from hypothesis import given
+from hypothesis import strategies as st
 
-from poplarward.errors import DecodeError, PeerTimeout, PeerUnreachable
+from poplarward.errors import ChannelClosed, DecodeError, PeerTimeout, PeerUnreachable
 from poplarward.protocol import Peers, ProcessIdentity, decode, message
 from poplarward.protocol.peers import CallRefused
 from poplarward.transport import Address, LinkFaults, MemoryNetwork, WebSocketNetwork
@@ -87,7 +92,6 @@
 
 
 def test_decode_refuses_unknown_tag_and_wrong_fields():
-    import cbor2
 
     with pytest.raises(DecodeError):
         decode(cbor2.dumps([123_456]))
@@ -95,3 +99,40 @@
         decode(cbor2.dumps([9_001, 5]))
     with pytest.raises(DecodeError):
         decode(b"\xff\x00")
+
+
+_cbor_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+@given(st.binary(max_size=64))
+def test_any_bytes_are_a_message_or_refused(data):
+    with contextlib.suppress(DecodeError):
+        decode(data)
+
+
+@given(st.sampled_from([1, 10, 12, 13, 20, 9_001]), st.lists(_cbor_values, max_size=12))
+def test_any_fields_are_a_message_or_refused(tag, values):
+    with contextlib.suppress(DecodeError):
+        decode(cbor2.dumps([tag, *values]))
+
+
+async def test_garbage_closes_only_its_own_connection(nursery):
+    server = make_peers(WebSocketNetwork(), "b")
+    server.register(Question, answer)
+    client = make_peers(WebSocketNetwork(), "a")
+    await server.start(nursery)
+    await client.start(nursery)
+    target = server.identity.address
+    async with WebSocketNetwork().connect(target) as channel:
+        await channel.receive()
+        await channel.send(b"\xff\xff")
+        with pytest.raises(ChannelClosed):
+            await channel.receive()
+    assert await client.call(target, Question("who"), 1000) == Answer("WHO")
+    await client.close()
+    await server.close()
+    nursery.cancel_scope.cancel()
