Relay benchmark; keep upstream connections in a free list

Ruled out: h11 parsing (0.06 ms a piece) and CBOR.

Change: HttpClient keeps idle httpcore connections in a list of its own, the last used first, under a semaphore; serving and calling are two modules now.

Conclusion: the rest is work for each piece in h11, hypercorn and trio.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -70,11 +70,17 @@
     """Entry hosts, agents and stand-ins, as separate processes.
 
     Use it as an asynchronous context manager: on leaving, every process is ended.
+
+    Attributes
+    ----------
+    profile_directory : str
+        Where processes that stop in order write their profiles; none if empty.
     """
 
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     host_list_lag_ms: int = 200
+    profile_directory: str = ""
 
     async def __aenter__(self) -> Deployment:
         self._directory = tempfile.TemporaryDirectory(prefix="poplarward-")
@@ -106,7 +112,7 @@
         log = Path(self._directory.name) / f"{name}.log"
         with log.open("ab") as file:
             popen = subprocess.Popen(
-                [sys.executable, "-m", *command],
+                [sys.executable, *self._profiler(name), "-m", *command],
                 stdout=subprocess.DEVNULL,
                 stderr=file,
                 stdin=subprocess.DEVNULL,
@@ -114,6 +120,11 @@
         process = self.processes[name] = ManagedProcess(name, host, log, popen)
         return process
 
+    def _profiler(self, name: str) -> list[str]:
+        if not self.profile_directory:
+            return []
+        return ["-m", "cProfile", "-o", f"{self.profile_directory}/{name}.prof"]
+
     async def start_standin(
         self, name: str, kind: str, options: list[str], host: str | None = None
     ) -> ManagedProcess:
@@ -142,7 +153,13 @@
         return await self.restart(name)
 
     async def start_agent(
-        self, name: str, data_centre: str, kind: str, upstream: str, url: str
+        self,
+        name: str,
+        data_centre: str,
+        kind: str,
+        upstream: str,
+        url: str,
+        n_slots: int = 32,
     ) -> ManagedProcess:
         """Start an agent, list it, and wait until it serves."""
         host = self.new_host()
@@ -153,7 +170,12 @@
             "metrics_listen": f"{host}:9100",
             "platform_url": self.platform_url,
             "peer_secret": PEER_SECRET,
-            "upstream": {"kind": kind, "name": upstream, "url": url, "n_slots": 32},
+            "upstream": {
+                "kind": kind,
+                "name": upstream,
+                "url": url,
+                "n_slots": n_slots,
+            },
         }
         await self.list_host(name)
         return await self.restart(name)
--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,220 @@
+"""What the relay adds to an upstream reached directly.
+
+Starts one engine stand-in, one agent and one entry host, and streams the same
+completions from the engine directly and through the entry host, in turns.
+
+Usage:
+  benchmarks.relay [options]
+
+Options:
+  --json         Print one JSON document.
+  --seed N       Seed of the prompts [default: 1].
+  --streams N    Streams open at once [default: 32].
+  --tokens N     Tokens of each answer [default: 100].
+  --rounds N     Rounds of streams, direct and relayed [default: 3].
+  --step-ms MS   Time of one step of the engine [default: 20].
+  --profile DIR  Write profiles of the entry host and the agent there.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import statistics
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import trio
+from docopt import docopt
+
+from poplarward.transport import HttpClient
+
+from .deployment import Deployment, model_group, workspace
+
+HEADERS = [("authorization", "Bearer caller"), ("content-type", "application/json")]
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+N_IDLE_STREAMS = 200
+
+
+class StreamTimes(NamedTuple):
+    """Times of one streamed answer."""
+
+    first_ms: float
+    gaps_ms: list[float]
+    n_pieces: int
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def rss_bytes(pid: int) -> int:
+    """Return the memory a process holds, in bytes."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+async def stream_once(client: HttpClient, prompt: str, n_tokens: int) -> StreamTimes:
+    """Stream one completion and time its pieces."""
+    body = json.dumps(
+        {"model": "portrait", "prompt": prompt, "max_tokens": n_tokens}
+    ).encode()
+    started_at = trio.current_time()
+    arrivals: list[float] = []
+    n_pieces = 0
+    async with client.stream(
+        "POST", "/v1/completions", HEADERS, body, 30_000
+    ) as response:
+        if response.status != 200:
+            raise RuntimeError(f"status {response.status}")
+        async for chunk in response.chunks():
+            n_pieces += chunk.count(b"\n\n")
+            arrivals.append(trio.current_time())
+    gaps_ms = [(b - a) * 1000 for a, b in zip(arrivals, arrivals[1:], strict=False)]
+    return StreamTimes((arrivals[0] - started_at) * 1000, gaps_ms, n_pieces)
+
+
+async def stream_many(
+    url: str, rng: random.Random, n_streams: int, n_tokens: int
+) -> list[StreamTimes]:
+    """Stream several completions at once."""
+    client = HttpClient(url, n_connections=n_streams)
+    times: list[StreamTimes] = []
+
+    async def one(prompt: str) -> None:
+        times.append(await stream_once(client, prompt, n_tokens))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(n_streams):
+            nursery.start_soon(one, f"prompt {rng.random()}")
+    await client.close()
+    return times
+
+
+def percentiles(values: list[float]) -> dict[str, float]:
+    """Return p50, p95 and p99 of some values, in milliseconds."""
+    cuts = statistics.quantiles(values, n=100)
+    return {f"p{p}": round(cuts[p - 1], 2) for p in (50, 95, 99)}
+
+
+async def measure_memory(deployment: Deployment, url: str) -> float:
+    """Return the entry host's memory for each open stream, in bytes."""
+    pid = deployment.processes["entry-1"].popen.pid
+    before = rss_bytes(pid)
+    client = HttpClient(url, n_connections=N_IDLE_STREAMS)
+    async with trio.open_nursery() as nursery:
+        for i in range(N_IDLE_STREAMS):
+            nursery.start_soon(_hold_stream, client, f"held {i}")
+        await trio.sleep(4)
+        after = rss_bytes(pid)
+        nursery.cancel_scope.cancel()
+    with trio.CancelScope(shield=True):
+        await client.close()
+    return (after - before) / N_IDLE_STREAMS
+
+
+async def _hold_stream(client: HttpClient, prompt: str) -> None:
+    await stream_once(client, prompt, 100_000)
+
+
+async def run(
+    seed: int,
+    n_streams: int,
+    n_tokens: int,
+    n_rounds: int,
+    step_ms: float,
+    profile_directory: str,
+) -> dict[str, Any]:
+    """Measure both ways and return the figures."""
+    rng = random.Random(seed)
+    async with Deployment(profile_directory=profile_directory) as deployment:
+        engine = await deployment.start_standin(
+            "engine", "engine", ["--step-ms", str(step_ms), "--slots", "256"]
+        )
+        direct_url = f"http://{engine.host}:7000"
+        await deployment.start_agent(
+            "agent-1", "rennes", "engine", "drafts", direct_url, n_slots=256
+        )
+        await deployment.start_entry("entry-1", "rennes")
+        await deployment.apply("entry-1", workspace("ateliers", "caller"))
+        await deployment.apply("entry-1", model_group("drafts", "portrait"))
+        entry_url = "http://" + deployment.settings["entry-1"]["callers_listen"]
+        await wait_until_served(entry_url)
+        direct: list[StreamTimes] = []
+        relayed: list[StreamTimes] = []
+        used = dict.fromkeys(("entry-1", "agent-1", "engine"), 0.0)
+        relayed_s = 0.0
+        for _ in range(n_rounds):
+            direct += await stream_many(direct_url, rng, n_streams, n_tokens)
+            before = {n: cpu_s(deployment.processes[n].popen.pid) for n in used}
+            began = trio.current_time()
+            relayed += await stream_many(entry_url, rng, n_streams, n_tokens)
+            relayed_s += trio.current_time() - began
+            for name, start in before.items():
+                used[name] += cpu_s(deployment.processes[name].popen.pid) - start
+        memory = await measure_memory(deployment, entry_url)
+        for name in ("entry-1", "agent-1"):
+            await deployment.processes[name].stop()
+    n_pieces = sum(times.n_pieces for times in relayed)
+    return {
+        "seed": seed,
+        "n_streams": n_streams,
+        "n_tokens": n_tokens,
+        "step_ms": step_ms,
+        "n_pieces": n_pieces,
+        "requests_per_s": round(len(relayed) / relayed_s, 1),
+        "pieces_per_s": round(n_pieces / relayed_s),
+        "first_token_ms": {
+            "direct": percentiles([t.first_ms for t in direct]),
+            "relayed": percentiles([t.first_ms for t in relayed]),
+        },
+        "between_tokens_ms": {
+            "direct": percentiles([g for t in direct for g in t.gaps_ms]),
+            "relayed": percentiles([g for t in relayed for g in t.gaps_ms]),
+        },
+        "cpu_ms_per_1000_pieces": {
+            name: round(1e6 * seconds / n_pieces, 1) for name, seconds in used.items()
+        },
+        "entry_pieces_per_core_s": round(n_pieces / used["entry-1"]),
+        "agent_pieces_per_core_s": round(n_pieces / used["agent-1"]),
+        "entry_bytes_per_open_stream": round(memory),
+    }
+
+
+async def wait_until_served(entry_url: str) -> None:
+    """Return once the entry host has the configuration and an agent."""
+    client = HttpClient(entry_url)
+    with trio.fail_after(20):
+        while True:
+            try:
+                await stream_once(client, "warm up", 1)
+                break
+            except RuntimeError:
+                await trio.sleep(0.1)
+    await client.close()
+
+
+def main() -> None:
+    """Run the measurement named on the command line."""
+    arguments = docopt(__doc__)
+    figures = trio.run(
+        run,
+        int(arguments["--seed"]),
+        int(arguments["--streams"]),
+        int(arguments["--tokens"]),
+        int(arguments["--rounds"]),
+        float(arguments["--step-ms"]),
+        arguments["--profile"] or "",
+    )
+    if arguments["--json"]:
+        print(json.dumps(figures))
+    else:
+        for name, value in figures.items():
+            print(f"{name:28} {value}")
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarward/transport/__init__.py
+++ b/poplarward/transport/__init__.py
@@ -6,10 +6,9 @@
 """
 
 from .channels import Address, Channel, ChannelHandler, Network
-from .http import (
-    HttpClient,
+from .http_client import HttpClient, HttpResponse
+from .http_server import (
     HttpRequest,
-    HttpResponse,
     Responder,
     TlsFiles,
     asgi_application,
--- /dev/null
+++ b/poplarward/transport/http_client.py
@@ -0,0 +1,167 @@
+"""Calls upstreams over HTTP by httpcore."""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import httpcore
+import trio
+
+from ..errors import UpstreamUnreachable
+from .http_server import Headers
+
+__all__ = ["HttpClient", "HttpResponse", "StreamedResponse"]
+
+KEEPALIVE_S = 30.0
+
+
+class HttpResponse(NamedTuple):
+    """A whole response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class HttpClient:
+    """Calls one upstream over a pool of kept connections.
+
+    Parameters
+    ----------
+    base_url : str
+        Scheme, IP number and port, such as ``http://127.0.0.1:8001``.
+    n_connections : int
+        Most connections open at once; further calls wait.
+    tls : ssl.SSLContext, optional
+        Context for ``https`` addresses.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        n_connections: int = 256,
+        tls: ssl.SSLContext | None = None,
+    ):
+        self._base_url = base_url.rstrip("/")
+        self._tls = tls
+        self._origin = httpcore.URL(self._base_url).origin
+        self._limit = trio.Semaphore(n_connections)
+        self._idle: list[httpcore.AsyncHTTPConnection] = []
+
+    async def close(self) -> None:
+        """Close the idle connections; those in use close at the end of their use."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            await connection.aclose()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        timeout_ms: float = 5000,
+    ) -> HttpResponse:
+        """Return the whole response; raises `UpstreamUnreachable`."""
+        async with self.stream(method, path, headers, body, timeout_ms) as response:
+            content = b"".join([chunk async for chunk in response.chunks()])
+        return HttpResponse(response.status, response.headers, content)
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        timeout_ms: float = 5000,
+    ) -> AsyncIterator[StreamedResponse]:
+        """Open a response whose body is read in parts.
+
+        Raises `UpstreamUnreachable`, whose `sent` tells whether the upstream may
+        have received the request. `timeout_ms` bounds each wait, not the whole.
+        """
+        timeouts = dict.fromkeys(("connect", "read", "write"), timeout_ms / 1000)
+        request = httpcore.Request(
+            method,
+            self._base_url + path,
+            headers=self._headers(headers or [], body),
+            content=body or None,
+            extensions={"timeout": timeouts},
+        )
+        with trio.move_on_after(timeout_ms / 1000) as scope:
+            await self._limit.acquire()
+        if scope.cancelled_caught:
+            raise UpstreamUnreachable("every connection is in use", sent=False)
+        try:
+            async with self._response(request) as response:
+                yield StreamedResponse(response)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise UpstreamUnreachable(str(error), sent=False) from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise UpstreamUnreachable(str(error), sent=True) from error
+        finally:
+            self._limit.release()
+
+    def _headers(self, headers: Headers, body: bytes) -> list[tuple[bytes, bytes]]:
+        encoded = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        encoded.append((b"host", self._base_url.partition("//")[2].encode()))
+        if body and not any(n.lower() == b"content-length" for n, _ in encoded):
+            encoded.append((b"content-length", str(len(body)).encode()))
+        return encoded
+
+    @asynccontextmanager
+    async def _response(
+        self, request: httpcore.Request
+    ) -> AsyncIterator[httpcore.Response]:
+        """Run a request on a connection, and keep the connection if it can be."""
+        connection: httpcore.AsyncHTTPConnection | None = self._take_connection()
+        try:
+            response = await connection.handle_async_request(request)
+            try:
+                yield response
+            finally:
+                with trio.CancelScope(shield=True):
+                    await response.aclose()
+        finally:
+            if connection.is_idle():
+                self._idle.append(connection)
+                # Those used last are taken first, so the first one may be stale.
+                connection = self._idle.pop(0) if self._idle[0].has_expired() else None
+            if connection is not None:
+                with trio.CancelScope(shield=True):
+                    await connection.aclose()
+
+    def _take_connection(self) -> httpcore.AsyncHTTPConnection:
+        """Return the idle connection used last, or a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.has_expired():
+                return connection
+        return httpcore.AsyncHTTPConnection(
+            self._origin, ssl_context=self._tls, keepalive_expiry=KEEPALIVE_S
+        )
+
+
+class StreamedResponse:
+    """A response whose body is being received."""
+
+    def __init__(self, response: httpcore.Response):
+        self._response = response
+        self.status: int = response.status
+        self.headers: Headers = [
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in response.headers
+        ]
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body in parts, as they arrive."""
+        async for chunk in self._response.aiter_stream():
+            yield chunk
--- a/poplarward/transport/http.py
+++ b/poplarward/transport/http_server.py
@@ -1,28 +1,24 @@
-"""HTTP by library: hypercorn for serving and httpcore for calling."""
+"""Serves HTTP by hypercorn."""
 
 from __future__ import annotations
 
 import json
 import ssl
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
-import httpcore
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from ..errors import BodyTooLarge, CallerGone, UpstreamUnreachable
+from ..errors import BodyTooLarge, CallerGone
 from ..telemetry import get_logger
 from .channels import Address
 
 __all__ = [
-    "HttpClient",
     "HttpRequest",
-    "HttpResponse",
     "Responder",
     "TlsFiles",
     "asgi_application",
@@ -232,109 +228,3 @@
 
 async def _serve(application: Any, config: Config, stop: Any, task_status: Any) -> None:
     await serve(application, config, shutdown_trigger=stop, task_status=task_status)
-
-
-class HttpResponse(NamedTuple):
-    """A whole response."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-class HttpClient:
-    """Calls one upstream over a pool of kept connections.
-
-    Parameters
-    ----------
-    base_url : str
-        Scheme, IP number and port, such as ``http://127.0.0.1:8001``.
-    n_connections : int
-        Most connections open at once; further calls wait.
-    tls : ssl.SSLContext, optional
-        Context for ``https`` addresses.
-    """
-
-    def __init__(
-        self,
-        base_url: str,
-        n_connections: int = 256,
-        tls: ssl.SSLContext | None = None,
-    ):
-        self._base_url = base_url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(
-            ssl_context=tls, max_connections=n_connections, keepalive_expiry=30.0
-        )
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._pool.aclose()
-
-    async def call(
-        self,
-        method: str,
-        path: str,
-        headers: Headers | None = None,
-        body: bytes = b"",
-        timeout_ms: float = 5000,
-    ) -> HttpResponse:
-        """Return the whole response; raises `UpstreamUnreachable`."""
-        async with self.stream(method, path, headers, body, timeout_ms) as response:
-            content = b"".join([chunk async for chunk in response.chunks()])
-        return HttpResponse(response.status, response.headers, content)
-
-    @asynccontextmanager
-    async def stream(
-        self,
-        method: str,
-        path: str,
-        headers: Headers | None = None,
-        body: bytes = b"",
-        timeout_ms: float = 5000,
-    ) -> AsyncIterator[StreamedResponse]:
-        """Open a response whose body is read in parts.
-
-        Raises `UpstreamUnreachable`, whose `sent` tells whether the upstream may
-        have received the request. `timeout_ms` bounds each wait, not the whole.
-        """
-        timeout_s = timeout_ms / 1000
-        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
-        encoded = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers or []]
-        if body and not any(n.lower() == b"content-length" for n, _ in encoded):
-            encoded.append((b"content-length", str(len(body)).encode()))
-        try:
-            async with self._pool.stream(
-                method,
-                self._base_url + path,
-                headers=encoded,
-                content=body or None,
-                extensions={"timeout": timeouts},
-            ) as response:
-                yield StreamedResponse(response)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            raise UpstreamUnreachable(str(error), sent=False) from error
-        except httpcore.PoolTimeout as error:
-            raise UpstreamUnreachable(str(error), sent=False) from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            raise UpstreamUnreachable(str(error), sent=True) from error
-
-
-class StreamedResponse:
-    """A response whose body is being received."""
-
-    def __init__(self, response: httpcore.Response):
-        self._response = response
-        self.status: int = response.status
-        self.headers: Headers = [
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-            for name, value in response.headers
-        ]
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body in parts, as they arrive."""
-        async for chunk in self._response.aiter_stream():
-            yield chunk
