Peer links: survive a handler's fault, drop silent processes

Cause: an unexpected error in one message handler ended the whole process, and a cancelled link left those waiting for it asleep. A host without power closes no connection, so its callers waited for their whole deadline. Found by reading.

Change: the fault is logged and closes just its connection; a link always settles; Peers.disconnect closes every connection to a process; the server's closing handshake is bounded as the client's is.

Measured: both new tests failed before (the first ended the test's task group, the second had no method to call) and pass after.

--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -120,6 +120,9 @@
                 peer=self.identity.name,
                 reason=str(group.exceptions[0]),
             )
+        except* Exception:
+            # A fault in one handler must not end the process and its other peers.
+            log.exception("peer.handler_failed", peer=self.identity.name)
         finally:
             self._fail_pending()
             self.closed.set()
@@ -236,6 +239,17 @@
         """Outgoing connections that are open."""
         return sum(link.connection is not None for link in self._links.values())
 
+    async def disconnect(self, process_name: str) -> None:
+        """Close every connection to a process, as when it is known to be gone.
+
+        A host that lost power closes nothing itself; without this, whoever waits
+        for its answers would wait for their whole deadline.
+        """
+        links = [link.connection for link in self._links.values()]
+        for connection in [*links, *self.accepted]:
+            if connection is not None and connection.identity.name == process_name:
+                await connection.close()
+
     async def connection(self, address: Address) -> Connection:
         """Return the open connection to an address; raises `PeerUnreachable`."""
         link = self._links.get(address)
@@ -263,22 +277,31 @@
 
     async def _run_link(self, link: _Link) -> None:
         """Hold one outgoing connection until it is lost."""
-        with link.scope:
-            try:
-                async with self._network.connect(link.address) as channel:
-                    connection = await self._handshake(channel)
-                    link.connection = connection
-                    link.settled.set()
-                    await connection._run(self._handlers)
-                    self._lost(connection)
-            except (PeerUnreachable, ChannelClosed, DecodeError) as error:
-                log.info("link.failed", address=str(link.address), reason=str(error))
+        try:
+            with link.scope:
+                await self._hold_link(link)
+        finally:
             link.connection = None
             link.settled.set()
-            # Keeps the failure for a moment, so that callers do not redial at once.
-            await trio.sleep(RECONNECT_PAUSE_S)
-        if self._links.get(link.address) is link:
-            del self._links[link.address]
+            if self._links.get(link.address) is link:
+                del self._links[link.address]
+
+    async def _hold_link(self, link: _Link) -> None:
+        try:
+            async with self._network.connect(link.address) as channel:
+                connection = await self._handshake(channel)
+                link.connection = connection
+                link.settled.set()
+                try:
+                    await connection._run(self._handlers)
+                finally:
+                    self._lost(connection)
+        except (PeerUnreachable, ChannelClosed, DecodeError) as error:
+            log.info("link.failed", address=str(link.address), reason=str(error))
+        link.connection = None
+        link.settled.set()
+        # Keeps the failure for a moment, so that callers do not redial at once.
+        await trio.sleep(RECONNECT_PAUSE_S)
 
     async def _accept(self, channel: Channel) -> None:
         try:
--- a/poplarward/transport/websocket.py
+++ b/poplarward/transport/websocket.py
@@ -118,6 +118,7 @@
         ssl=tls,
         compression=None,
         max_size=MAX_MESSAGE_BYTES,
+        close_timeout=CLOSE_TIMEOUT_S,
         ping_interval=None,
         task_status=task_status,
     )
--- a/tests/protocol/test_peers.py
+++ b/tests/protocol/test_peers.py
@@ -136,3 +136,51 @@
     await client.close()
     await server.close()
     nursery.cancel_scope.cancel()
+
+
+async def start_pair(network, nursery):
+    server = make_peers(network.host("10.0.0.2"), "b", "10.0.0.2")
+    client = make_peers(network.host("10.0.0.1"), "a", "10.0.0.1")
+    server.register(Question, answer)
+    await server.start(nursery)
+    await client.start(nursery)
+    return server, client
+
+
+async def test_fault_in_a_handler_closes_only_its_connection(nursery, autojump_clock):
+    network = MemoryNetwork()
+    server, client = await start_pair(network, nursery)
+
+    async def fail(connection, message):
+        raise ZeroDivisionError
+
+    server.register(Answer, fail)
+    with pytest.raises(PeerUnreachable):
+        await client.call(server.identity.address, Answer("x"), 1000)
+    await trio.sleep(1)
+    reply = await client.call(server.identity.address, Question("x"), 1000)
+    assert reply == Answer("X")
+    nursery.cancel_scope.cancel()
+
+
+async def test_disconnect_fails_calls_to_a_silent_process(nursery, autojump_clock):
+    network = MemoryNetwork()
+    server, client = await start_pair(network, nursery)
+    lost = []
+    client.on_lost.append(lambda connection: lost.append(connection.identity.name))
+    failed = []
+
+    async def call_slowly():
+        with pytest.raises(PeerUnreachable):
+            await client.call(server.identity.address, Question("slow"), 60_000)
+        failed.append(trio.current_time())
+
+    async with trio.open_nursery() as calls:
+        calls.start_soon(call_slowly)
+        await trio.sleep(1)
+        began = trio.current_time()
+        await client.disconnect("b")
+        await trio.sleep(1)
+    assert failed[0] - began < 1
+    assert lost == ["b"]
+    nursery.cancel_scope.cancel()
