Run the documented client in the whole-path test

Cause: the example in the page for callers could go stale unseen. Change: the test takes the code from the page and runs it against real processes.

--- a/tests/programs/test_whole_path.py
+++ b/tests/programs/test_whole_path.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
+from typing import Any
 
 import trio
 
@@ -16,6 +18,7 @@
 from poplarward.standins.engine import completion_words
 from poplarward.transport import HttpClient
 
+ROOT = Path(__file__).parents[2]
 HEADERS = [("authorization", "Bearer caller"), ("content-type", "application/json")]
 
 
@@ -50,6 +53,19 @@
             await trio.sleep(0.1)
 
 
+async def check_documented_client(deployment: Deployment) -> None:
+    """Run the client that the page for callers shows."""
+    page = (ROOT / "docs" / "callers.md").read_text(encoding="utf-8")
+    source = page.partition("```python\n")[2].partition("```")[0]
+    names: dict[str, Any] = {}
+    exec(compile(source, "docs/callers.md", "exec"), names)
+    address = deployment.settings["entry-1"]["callers_listen"]
+    client = names["Client"]([address], "caller")
+    path = "/v1/services/ledger/bookings/b-1"
+    body = await trio.to_thread.run_sync(client.send, "GET", path)
+    assert json.loads(body)["reference"] == "b-1"
+
+
 async def test_whole_path():
     async with Deployment() as deployment:
         ledger_url = await start_small(deployment)
@@ -89,6 +105,7 @@
             "entry-2", "List", pb.ListRequest(), pb.ListResponse
         )
         assert {r.name for r in listed.resources} == {"ateliers", "drafts", "ledger"}
+        await check_documented_client(deployment)
         refused = await first.call("GET", "/v1/services/ledger/bookings/b-1")
         assert refused.status == 401
         for client in (first, second, ledger):
