Plan moves of experts that pay by the deployment's weights

The change: estimators of expert load and rank speed, a search by single changes, a planner that weighs saved skew against cost, and sources for the weights.

--- /dev/null
+++ b/poplarward/coordination/rebalancing/planner.py
@@ -0,0 +1,220 @@
+"""Weighs the skew that moves would save against what they cost."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Sequence
+from typing import NamedTuple
+
+from .estimator import LoadEstimator
+from .placement import Layer, Move, rank_work
+from .search import LayerSearch
+from .transfers import TransferSummary, plan_transfers
+
+__all__ = ["CostModel", "Plan", "Planner", "PlannerWeights"]
+
+MAX_STEPS_PER_LAYER = 24
+MAX_STEPS_WITHOUT_GAIN = 4
+MAX_LAYERS_PER_PLAN = 14
+N_PLAN_SIZES = 4
+MIN_GAIN_COST_RATIO = 10.0
+RETRY_EXCESS_GROWTH = 1.02
+
+
+class PlannerWeights(NamedTuple):
+    """How a deployment weighs skew against the cost of rebalancing."""
+
+    skew_weight: float
+    rebalance_cost_weight: float
+
+
+class CostModel(NamedTuple):
+    """What moving weights costs a group.
+
+    Attributes
+    ----------
+    expert_bytes : int
+        Weights of one expert of one layer.
+    link_bytes_per_s, store_bytes_per_s : float
+        Rate at which a rank receives weights from a peer, and at which the weight
+        store serves them.
+    step_ms : float
+        Time of a step without skew.
+    slowed_share : float
+        Part of a step by which it takes longer while weights are received.
+    """
+
+    expert_bytes: int
+    link_bytes_per_s: float
+    store_bytes_per_s: float
+    step_ms: float
+    slowed_share: float
+
+    def transfer_steps(self, summary: TransferSummary) -> int:
+        """Return the steps during which a plan's weights are on their way."""
+        seconds = max(
+            summary.busiest_link_bytes / self.link_bytes_per_s,
+            summary.store_bytes / self.store_bytes_per_s,
+        )
+        return math.ceil(1000 * seconds / self.step_ms)
+
+    def moved_steps(self, n_experts: int, n_ranks: int) -> float:
+        """Return the time of all links together that moved weights take, in steps."""
+        bytes_per_step = self.link_bytes_per_s * self.step_ms / 1000 * n_ranks
+        return n_experts * self.expert_bytes / bytes_per_step
+
+    def cost_steps(self, n_experts: int, n_ranks: int, n_slowed_steps: int) -> float:
+        """Return the whole cost of a plan, in steps."""
+        moved = self.moved_steps(n_experts, n_ranks)
+        return moved + self.slowed_share * n_slowed_steps
+
+
+class Plan(NamedTuple):
+    """Moves that pay, and what is expected of them.
+
+    Attributes
+    ----------
+    skew_saved : float
+        Decrease of a step's time, in steps without skew.
+    cost_steps : float
+        Cost of the moves, in steps without skew.
+    """
+
+    moves: tuple[Move, ...]
+    transfers: TransferSummary
+    skew_saved: float
+    cost_steps: float
+
+
+class _Bundle(NamedTuple):
+    """The moves that one layer would make by itself."""
+
+    moves: tuple[Move, ...]
+    gain: float
+
+
+class Planner:
+    """Plans the moves of one group.
+
+    The layers that lose most are searched first. Of each layer's sequence of moves
+    the part with the best balance is kept, and of all layers' parts those that pay
+    together, since transfers to different ranks run at the same time.
+
+    Parameters
+    ----------
+    weights : PlannerWeights
+        The deployment's own weights.
+    costs : CostModel
+        What moving weights costs this group.
+    """
+
+    def __init__(self, weights: PlannerWeights, costs: CostModel):
+        self._weights = weights
+        self._costs = costs
+        self._excess_without_plan: dict[int, float] = {}
+
+    def plan(
+        self,
+        layers: Sequence[Layer],
+        estimator: LoadEstimator,
+        slowness: Sequence[float],
+        unreachable_ranks: Collection[int] = (),
+    ) -> Plan | None:
+        """Return the moves that pay now, or None if there are none.
+
+        `slowness` is each rank's time for a token over that of an ordinary rank.
+        """
+        loads = [estimator.loads(index) for index in range(len(layers))]
+        n_ranks = len(layers[0])
+        step_work = sum(map(sum, loads)) / n_ranks
+        if step_work <= 0:
+            return None
+        value = self._weights.skew_weight * estimator.horizon_steps()
+        price = self._price_of_move(n_ranks)
+        excess = [
+            _excess(rank_work(layer, layer_loads), slowness)
+            for layer, layer_loads in zip(layers, loads, strict=True)
+        ]
+        due = [
+            index
+            for index, lost in enumerate(excess)
+            if lost / step_work * value > price
+            and lost > self._excess_without_plan.get(index, 0.0) * RETRY_EXCESS_GROWTH
+        ]
+        due.sort(key=lambda index: -excess[index])
+        bundles = []
+        for index in due[:MAX_LAYERS_PER_PLAN]:
+            search = LayerSearch(index, layers[index], loads[index], slowness)
+            bundle = _best_bundle(search, step_work, value, price)
+            if bundle is None:
+                self._excess_without_plan[index] = excess[index]
+            else:
+                self._excess_without_plan.pop(index, None)
+                bundles.append(bundle)
+        return self._choose(layers, bundles, value, unreachable_ranks)
+
+    def _price_of_move(self, n_ranks: int) -> float:
+        moved = self._costs.moved_steps(1, n_ranks)
+        return self._weights.rebalance_cost_weight * moved * MIN_GAIN_COST_RATIO
+
+    def _choose(
+        self,
+        layers: Sequence[Layer],
+        bundles: list[_Bundle],
+        value: float,
+        unreachable_ranks: Collection[int],
+    ) -> Plan | None:
+        """Return the bundles that pay together, best ones first."""
+        bundles.sort(key=lambda bundle: -bundle.gain / len(bundle.moves))
+        stride = -(-len(bundles) // N_PLAN_SIZES) or 1
+        best, best_net = None, 0.0
+        for n_bundles in range(stride, len(bundles) + stride, stride):
+            plan = self._cost(layers, bundles[:n_bundles], unreachable_ranks)
+            price = self._weights.rebalance_cost_weight * plan.cost_steps
+            net = plan.skew_saved * value - price * MIN_GAIN_COST_RATIO
+            if net > best_net:
+                best, best_net = plan, net
+        return best
+
+    def _cost(
+        self,
+        layers: Sequence[Layer],
+        bundles: Sequence[_Bundle],
+        unreachable_ranks: Collection[int],
+    ) -> Plan:
+        moves = tuple(move for bundle in bundles for move in bundle.moves)
+        summary = plan_transfers(
+            layers, moves, self._costs.expert_bytes, unreachable_ranks
+        )
+        n_slowed = self._costs.transfer_steps(summary)
+        cost = self._costs.cost_steps(len(moves), len(layers[0]), n_slowed)
+        return Plan(moves, summary, sum(bundle.gain for bundle in bundles), cost)
+
+
+def _excess(work: Sequence[float], slowness: Sequence[float]) -> float:
+    """Return the slowest rank's time beyond the mean work."""
+    slowest = max([w * factor for w, factor in zip(work, slowness, strict=True)])
+    return slowest - sum(work) / len(work)
+
+
+def _best_bundle(
+    search: LayerSearch, step_work: float, value: float, price: float
+) -> _Bundle | None:
+    """Return the part of a layer's sequence of moves that pays best, if any does."""
+    before = max(search.work)
+    best, best_net = None, 0.0
+    n_without_gain = 0
+    for _ in range(MAX_STEPS_PER_LAYER):
+        step = search.next_step()
+        if step is None:
+            break
+        gain = (before - step.max_work) / step_work
+        net = gain * value - price * len(step.moves)
+        if net > best_net:
+            best, best_net = _Bundle(step.moves, gain), net
+            n_without_gain = 0
+        else:
+            n_without_gain += 1
+        if n_without_gain == MAX_STEPS_WITHOUT_GAIN:
+            break
+    return best
