Learn the outcome of every attempt; retry and resume where that is safe

Cause: an attempt whose deadline passed while it ran was reported as not-run (and its end could not be made, since messages have no _replace); a bar asked of a restarted agent promised not-run for work of its earlier start; a Submit that came after its bar was never answered; a lost connection to the entry host broke off a payment's upstream call; nothing was ever retried or resumed; an agent whose engine refused connections looked idle and drew requests.

Change: outcomes with a floor for each start of an entry host; bar after a cut, compared by the agent's start; a query when an attempt is silent; streams resume behind the last event; other answers are kept until whole; a retry budget; agents report an upstream that refuses connections as down.

--- a/poplarward/protocol/requests.py
+++ b/poplarward/protocol/requests.py
@@ -22,6 +22,7 @@
     "PieceBatch",
     "Pieces",
     "PriorityClass",
+    "Refusal",
     "Submit",
 ]
 
@@ -45,6 +46,19 @@
     DRAFTING = "drafting"
 
 
+class Refusal(StrEnum):
+    """Why an attempt ended without an upstream's answer."""
+
+    NONE = ""
+    DEADLINE = "deadline"
+    KEY_CONFLICT = "key-conflict"
+    KEY_FULL = "key-full"
+    KEY_IN_PROGRESS = "key-in-progress"
+    KEY_UNKNOWN = "key-unknown"
+    LEAVING = "leaving"
+    STORE_AWAY = "store-away"
+
+
 @message(10)
 class Submit:
     """Asks an agent to run one attempt of a request.
@@ -115,6 +129,8 @@
         Empty if the upstream's answer ended in order.
     retry_after_ms : int
         When it is worth trying again; 0 if the agent has no opinion.
+    refusal : Refusal
+        Why there is no answer, where another process acts on it.
     """
 
     request_id: RequestId
@@ -122,6 +138,7 @@
     n_pieces: int
     error: str = ""
     retry_after_ms: int = 0
+    refusal: Refusal = Refusal.NONE
 
 
 @message(14)
@@ -133,9 +150,16 @@
 
 @message(15)
 class Bar:
-    """Asks what became of an attempt, and that it never start if it has not."""
+    """Asks what became of an attempt, and that it never start if it has not.
+
+    Attributes
+    ----------
+    wait_ms : int
+        How long the agent waits for a running call that may not be repeated to end.
+    """
 
     request_id: RequestId
+    wait_ms: int = 0
 
 
 @message(16)
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -7,17 +7,17 @@
 
 from .admission import Admission
 from .attempts import AttemptLoop
-from .execution import Executor, UpstreamSettings
+from .execution import Executor
 from .gateway import Gateway
-from .relay import AttemptStream, Relay
+from .relay import Relay
 from .routing import AgentTable, AgentView, Router, choose_agent
+from .upstream import UpstreamSettings
 
 __all__ = [
     "Admission",
     "AgentTable",
     "AgentView",
     "AttemptLoop",
-    "AttemptStream",
     "Executor",
     "Gateway",
     "Relay",
--- a/poplarward/requests/answers.py
+++ b/poplarward/requests/answers.py
@@ -1,13 +1,120 @@
-"""Responses to callers that are no upstream's answer."""
+"""Writes the one answer that a caller gets, whatever attempts it takes."""
 
 from __future__ import annotations
 
-from ..protocol.requests import Outcome
+import json
+
+from ..errors import PoplarwardError
+from ..protocol.requests import Head, Outcome
 from ..transport import Responder
+from .retries import Failure
+from .streams import Chunk
+from .upstream import DONE_EVENT, EVENT_STREAM
 
-__all__ = ["OUTCOME_HEADER", "respond_error"]
+__all__ = ["OUTCOME_HEADER", "Answer", "AnswerChanged", "respond_error"]
 
 OUTCOME_HEADER = "poplarward-outcome"
+MAX_WHOLE_ANSWER_BYTES = 1024 * 1024
+RETRYABLE_STATUSES = frozenset((502, 503, 504))
+
+
+class AnswerChanged(PoplarwardError):
+    """An attempt's answer can not be joined to what the caller has already."""
+
+
+class Answer:
+    """The answer to one caller's request.
+
+    A stream of events goes on to the caller as it arrives, and a later attempt
+    resumes after the last event. Any other answer is kept until it is whole, so that
+    a failed attempt leaves no trace in it.
+
+    Attributes
+    ----------
+    n_pieces : int
+        Pieces of a stream that the caller has.
+    is_done : bool
+        Whether the last of them marks the end of the stream.
+    """
+
+    def __init__(self, responder: Responder):
+        self.n_pieces = 0
+        self.is_done = False
+        self._responder = responder
+        self._can_resume = False
+        self._head: Head | None = None
+        self._body: list[bytes] = []
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the caller has received a part of the answer."""
+        return self._responder.started
+
+    def restart(self, can_resume: bool) -> None:
+        """Prepare for the next attempt, at an upstream that can resume or not."""
+        self._can_resume = can_resume
+        if not self.is_started:
+            self._head = None
+            self._body = []
+
+    async def head(self, head: Head) -> None:
+        """Take an attempt's head; raises `AnswerChanged`."""
+        if self.is_started:
+            if head.status != 200:
+                raise AnswerChanged(f"the resumed answer has status {head.status}")
+            return
+        self._head = head
+        content_type = dict(head.headers).get("content-type", "")
+        if self._can_resume and content_type.startswith(EVENT_STREAM):
+            await self._responder.start(head.status, _headers(head))
+
+    async def chunk(self, chunk: Chunk) -> None:
+        """Take the next pieces; raises `AnswerChanged`."""
+        if self.is_started:
+            self.n_pieces += chunk.n_pieces
+            self.is_done = chunk.last_piece == DONE_EVENT
+            await self._responder.write(chunk.data)
+            return
+        self._body.append(chunk.data)
+        if sum(map(len, self._body)) > MAX_WHOLE_ANSWER_BYTES:
+            raise AnswerChanged("the upstream's answer is too long")
+
+    def failed_status(self) -> int:
+        """Return the status by which the upstream asks to try elsewhere, or 0."""
+        if self.is_started or self._head is None:
+            return 0
+        return self._head.status if self._head.status in RETRYABLE_STATUSES else 0
+
+    async def finish(self) -> None:
+        """End an answer that is whole."""
+        if self.is_started:
+            await self._responder.finish()
+            return
+        assert self._head is not None
+        body = b"".join(self._body)
+        length = ("content-length", str(len(body)))
+        await self._responder.start(self._head.status, [*_headers(self._head), length])
+        await self._responder.finish(body)
+
+    async def fail(self, failure: Failure) -> None:
+        """End an answer that can not be completed, as an explicit error."""
+        if not self.is_started:
+            await respond_error(
+                self._responder,
+                failure.status,
+                failure.reason,
+                failure.retry_after_ms,
+                failure.outcome,
+            )
+            return
+        document = {"error": failure.reason, "outcome": failure.outcome}
+        line = f"event: error\ndata: {json.dumps(document)}\n\n"
+        await self._responder.finish(line.encode())
+
+
+def _headers(head: Head) -> list[tuple[str, str]]:
+    kept = [pair for pair in head.headers if pair[0] == "content-type"]
+    return [*kept, (OUTCOME_HEADER, Outcome.RAN.value)]
 
 
 async def respond_error(
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -1,23 +1,70 @@
-"""Runs a caller's request at upstreams and relays the answer."""
+"""Runs a caller's request at upstreams, as often as is safe, and relays the answer."""
 
 from __future__ import annotations
 
-import json
+from collections import defaultdict
+from collections.abc import Callable
 
 import trio
 
-from ..errors import PeerUnreachable, Refused
-from ..protocol import Peers
-from ..protocol.requests import End, Head, Outcome, Submit
+from ..errors import PeerUnreachable
+from ..protocol import Connection, Peers
+from ..protocol.reports import UpstreamKind
+from ..protocol.requests import End, Head, Outcome, Refusal, Submit
+from ..telemetry import get_logger
 from ..transport import Responder
-from .answers import OUTCOME_HEADER, respond_error
+from .answers import Answer, AnswerChanged
 from .caller import CallerRequest
-from .relay import Piece, Relay
+from .relay import Relay
+from .retries import (
+    Failure,
+    GiveUp,
+    Progress,
+    RetryBudget,
+    combine_outcomes,
+    next_step,
+)
 from .routing import AgentView, Router
+from .streams import AttemptStream, Broken, Chunk
 
 __all__ = ["AttemptLoop"]
 
 RETRY_AFTER_MS = 1_000
+BAR_TIMEOUT_MS = 2_000.0
+DEADLINE_BAR_TIMEOUT_MS = 250.0
+DEADLINE_GRACE_MS = 250.0
+QUIET_LIMIT_MS = 2_000.0
+END_GRACE_MS = 250.0
+
+REFUSALS = {
+    Refusal.DEADLINE: (504, False),
+    Refusal.KEY_CONFLICT: (422, True),
+    Refusal.KEY_FULL: (503, True),
+    Refusal.KEY_IN_PROGRESS: (409, True),
+    Refusal.KEY_UNKNOWN: (409, True),
+    Refusal.STORE_AWAY: (503, True),
+}
+
+log = get_logger("attempts")
+
+
+class _Progress:
+    """A request on its way, over all of its attempts."""
+
+    def __init__(self, request: CallerRequest, answer: Answer):
+        self.request = request
+        self.answer = answer
+        self.expires_at = trio.current_time() + request.deadline_ms / 1000
+        self.n_attempts = 0
+        self.outcome = Outcome.NOT_RUN
+        self.excluded: set[str] = set()
+
+    @property
+    def left_ms(self) -> float:
+        return max(0.0, (self.expires_at - trio.current_time()) * 1000)
+
+    def seen(self) -> Progress:
+        return Progress(self.request.repeatable, self.n_attempts, self.left_ms)
 
 
 class AttemptLoop:
@@ -27,19 +74,97 @@
     ----------
     peers, relay, router
         The entry host's links, the attempts in progress and the choice of agents.
+    new_budget : callable, optional
+        Returns the retry budget of one model group or plain service.
     """
 
-    def __init__(self, peers: Peers, relay: Relay, router: Router):
+    def __init__(
+        self,
+        peers: Peers,
+        relay: Relay,
+        router: Router,
+        new_budget: Callable[[], RetryBudget] = RetryBudget,
+    ):
+        self.n_attempts = 0
         self._peers = peers
         self._relay = relay
         self._router = router
+        self._budgets: defaultdict[str, RetryBudget] = defaultdict(new_budget)
 
     async def run(self, request: CallerRequest, responder: Responder) -> None:
-        """Answer a request; raises `Refused` if it was not run."""
-        agent = self._router.choose(request)
-        if agent is None:
-            raise Refused(f"no upstream of {request.upstream} is live", RETRY_AFTER_MS)
-        submit = Submit(
+        """Answer a request, whatever becomes of its attempts."""
+        budget = self._budgets[request.upstream]
+        budget.note_request()
+        progress = _Progress(request, Answer(responder))
+        last = Failure(
+            Outcome.NOT_RUN,
+            f"no upstream of {request.upstream} is live",
+            503,
+            RETRY_AFTER_MS,
+        )
+        while True:
+            agent = self._router.choose(request, frozenset(progress.excluded))
+            if agent is None:
+                break
+            failure = await self._attempt(agent, progress)
+            if failure is None:
+                return
+            last = failure
+            progress.outcome = combine_outcomes(progress.outcome, failure.outcome)
+            step = next_step(failure, progress.seen(), budget)
+            log.info(
+                "attempt.failed",
+                agent=agent.identity.name,
+                outcome=failure.outcome.value,
+                reason=failure.reason,
+                step=type(step).__name__,
+            )
+            if isinstance(step, GiveUp):
+                last = failure._replace(reason=step.reason)
+                break
+            progress.excluded.add(agent.identity.name)
+        await self._give_up(progress, last)
+
+    async def _give_up(self, progress: _Progress, last: Failure) -> None:
+        """Answer with the outcome of all attempts, and when to come back."""
+        outcome = progress.outcome
+        may_come_back = progress.request.repeatable or outcome is Outcome.NOT_RUN
+        retry_after_ms = last.retry_after_ms
+        if may_come_back and not last.is_final:
+            retry_after_ms = retry_after_ms or RETRY_AFTER_MS
+        await progress.answer.fail(
+            last._replace(outcome=outcome, retry_after_ms=retry_after_ms)
+        )
+
+    async def _attempt(self, agent: AgentView, progress: _Progress) -> Failure | None:
+        """Make one attempt; returns how it failed, or None."""
+        progress.n_attempts += 1
+        self.n_attempts += 1
+        progress.answer.restart(agent.report.upstream_kind is UpstreamKind.ENGINE)
+        name = agent.identity.name
+        self._router.add_in_flight(name, 1)
+        try:
+            connection = await self._connect(agent, progress)
+            stream = await self._relay.submit(connection, self._submit(progress))
+            return await self._follow(connection, stream, progress)
+        except PeerUnreachable as error:
+            reason = f"agent: {error}"
+            return Failure(Outcome.NOT_RUN, reason, 503, RETRY_AFTER_MS)
+        finally:
+            self._router.add_in_flight(name, -1)
+
+    async def _connect(self, agent: AgentView, progress: _Progress) -> Connection:
+        name = agent.identity.name
+        with trio.move_on_at(progress.expires_at):
+            connection = await self._peers.connection(agent.address)
+            if connection.identity.name != name:
+                raise PeerUnreachable(f"{name} is not at {agent.address} any more")
+            return connection
+        raise PeerUnreachable(f"no connection to {name} before the deadline")
+
+    def _submit(self, progress: _Progress) -> Submit:
+        request = progress.request
+        return Submit(
             request_id=self._relay.new_request_id(),
             workspace=request.workspace,
             priority_class=request.priority_class,
@@ -47,27 +172,21 @@
             path=request.path,
             headers=request.headers,
             body=request.body,
-            deadline_ms=request.deadline_ms,
+            deadline_ms=int(progress.left_ms),
             repeatable=request.repeatable,
             idempotency_key=request.idempotency_key,
+            n_pieces_received=progress.answer.n_pieces,
         )
-        self._router.add_in_flight(agent.identity.name, 1)
-        try:
-            await self._relay_attempt(agent, submit, responder)
-        finally:
-            self._router.add_in_flight(agent.identity.name, -1)
 
-    async def _relay_attempt(
-        self, agent: AgentView, submit: Submit, responder: Responder
-    ) -> None:
+    async def _follow(
+        self, connection: Connection, stream: AttemptStream, progress: _Progress
+    ) -> Failure | None:
+        """Relay an attempt's answer and learn the outcome of one that failed."""
         try:
-            connection = await self._peers.connection(agent.address)
-            stream = await self._relay.submit(connection, submit)
-        except PeerUnreachable as error:
-            raise Refused(f"agent: {error}", RETRY_AFTER_MS) from error
-        try:
-            async for event in stream.events():
-                await _send_event(responder, event)
+            failure = await self._relay_answer(stream, progress)
+            if failure is None or stream.has_end:
+                return failure
+            return await self._settle(connection, stream, progress, failure)
         except trio.Cancelled:
             with trio.CancelScope(shield=True), trio.move_on_after(1):
                 await self._relay.cancel(stream)
@@ -75,19 +194,79 @@
         finally:
             self._relay.forget(stream)
 
+    async def _relay_answer(
+        self, stream: AttemptStream, progress: _Progress
+    ) -> Failure | None:
+        ends_at = progress.expires_at + DEADLINE_GRACE_MS / 1000
+        while True:
+            quiet_at = trio.current_time() + QUIET_LIMIT_MS / 1000
+            with trio.move_on_at(min(ends_at, quiet_at)) as wait:
+                event = await stream.next()
+            if not wait.cancelled_caught:
+                try:
+                    if isinstance(event, End | Broken):
+                        return await _end(event, progress)
+                    await _pass_on(event, progress.answer)
+                except AnswerChanged as error:
+                    return Failure(Outcome.UNKNOWN, str(error), 502, is_final=True)
+            elif trio.current_time() >= ends_at:
+                return Failure(Outcome.UNKNOWN, "the deadline has passed", 504)
+            elif not await self._relay.is_held(stream):
+                # The end may be on its way still.
+                await trio.sleep(END_GRACE_MS / 1000)
+                stream.fail("the agent does not answer for the attempt")
+
+    async def _settle(
+        self,
+        connection: Connection,
+        stream: AttemptStream,
+        progress: _Progress,
+        failure: Failure,
+    ) -> Failure:
+        """Stop an attempt whose end did not come and learn its outcome."""
+        timeout_ms = BAR_TIMEOUT_MS
+        if progress.request.repeatable:
+            await self._relay.cancel(stream)
+            timeout_ms = DEADLINE_BAR_TIMEOUT_MS
+            if progress.left_ms:
+                # Another attempt does no harm, whatever became of this one.
+                return failure
+        outcome = await self._relay.bar(connection, stream.request_id, timeout_ms)
+        if outcome is Outcome.RAN:
+            reason = f"{failure.reason}; it ran and its answer was lost"
+            return failure._replace(outcome=outcome, reason=reason)
+        return failure._replace(outcome=outcome)
+
+
+async def _pass_on(event: Head | Chunk, answer: Answer) -> None:
+    match event:
+        case Head():
+            await answer.head(event)
+        case Chunk():
+            await answer.chunk(event)
+
 
-async def _send_event(responder: Responder, event: Head | Piece | End) -> None:
+async def _end(event: End | Broken, progress: _Progress) -> Failure | None:
+    """Finish the answer, or return how the attempt failed."""
+    answer = progress.answer
     match event:
-        case Head(status=status, headers=headers):
-            kept = [pair for pair in headers if pair[0] == "content-type"]
-            await responder.start(status, [*kept, (OUTCOME_HEADER, Outcome.RAN)])
-        case Piece(data=data):
-            await responder.write(data)
         case End(error=""):
-            await responder.finish()
-        case End(outcome=outcome, error=error) if responder.started:
-            document = {"error": error, "outcome": outcome}
-            line = f"event: error\ndata: {json.dumps(document)}\n\n"
-            await responder.finish(line.encode())
-        case End(outcome=outcome, error=error):
-            await respond_error(responder, 502, error, RETRY_AFTER_MS, outcome)
+            status = answer.failed_status()
+            if status and progress.request.repeatable:
+                return Failure(
+                    Outcome.UNKNOWN,
+                    f"the upstream answered with status {status}",
+                    status,
+                    RETRY_AFTER_MS,
+                )
+        case _ if answer.is_done:
+            # Only the end was lost; the caller has every piece.
+            pass
+        case Broken(reason=reason, is_final=is_final):
+            return Failure(Outcome.UNKNOWN, reason, 502, is_final=is_final)
+        case End(outcome=outcome, error=error, refusal=refusal):
+            by_default = 503 if outcome is Outcome.NOT_RUN else 502
+            status, is_final = REFUSALS.get(refusal, (by_default, False))
+            return Failure(outcome, error, status, event.retry_after_ms, is_final)
+    await answer.finish()
+    return None
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -6,16 +6,14 @@
 
 from __future__ import annotations
 
-import json
-from collections import OrderedDict
-from collections.abc import AsyncIterator
-from typing import NamedTuple
+import dataclasses
 
 import trio
 
 from ..errors import PeerUnreachable, UpstreamUnreachable
 from ..protocol import Connection, Peers, RequestId
-from ..protocol.reports import AgentReport, UpstreamKind, UpstreamState
+from ..protocol.attempts import AttemptQuery, AttemptState
+from ..protocol.reports import AgentReport, UpstreamState
 from ..protocol.requests import (
     Bar,
     Barred,
@@ -23,50 +21,51 @@
     End,
     Head,
     Outcome,
-    PriorityClass,
+    Refusal,
     Submit,
 )
 from ..telemetry import get_logger
-from ..transport import HttpClient
+from .health import UpstreamHealth
+from .outcomes import OutcomeRecord
 from .packing import PiecePacker
+from .upstream import Upstream, UpstreamClient, UpstreamSettings
 
-__all__ = ["Executor", "UpstreamSettings"]
+__all__ = ["Executor"]
 
-MAX_REMEMBERED_ATTEMPTS = 100_000
 REPORT_INTERVAL_MS = 100.0
-UPSTREAM_TIMEOUT_MS = 30_000.0
-EVENT_SEPARATOR = b"\n\n"
+DRAIN_POLL_MS = 50.0
 
 log = get_logger("executor")
 
 
-class UpstreamSettings(NamedTuple):
-    """What an agent stands before.
+class _Attempt:
+    """An attempt in hand.
 
     Attributes
     ----------
-    kind : UpstreamKind
-    name : str
-        Model group or plain service that the upstream belongs to.
-    url : str
-        Where the upstream listens, by IP number.
-    n_slots : int
-        Requests that it runs at once.
+    started : bool
+        Whether the upstream may have received it.
+    barred : bool
+        Whether it was promised that it never starts.
     """
 
-    kind: UpstreamKind
-    name: str
-    url: str
-    n_slots: int
-
-
-class _Attempt:
-    """An attempt in hand."""
-
-    def __init__(self, submit: Submit):
+    def __init__(self, submit: Submit, connection: Connection, packer: PiecePacker):
         self.submit = submit
+        self.connection = connection
+        self.packer = packer
         self.scope = trio.CancelScope()
+        self.ended = trio.Event()
         self.started = False
+        self.barred = False
+        self.n_pieces = submit.n_pieces_received
+
+    def stop(self) -> None:
+        """Stop it, unless it is running and may not be repeated."""
+        if not self.started:
+            self.barred = True
+            self.scope.cancel()
+        elif self.submit.repeatable:
+            self.scope.cancel()
 
 
 class Executor:
@@ -78,16 +77,24 @@
         Connections of entry hosts.
     settings : UpstreamSettings
         What the agent stands before.
+    client : UpstreamClient, optional
+        Replaces the HTTP client in tests.
     """
 
-    def __init__(self, peers: Peers, settings: UpstreamSettings):
-        self.state = UpstreamState.LIVE
+    def __init__(
+        self,
+        peers: Peers,
+        settings: UpstreamSettings,
+        client: UpstreamClient | None = None,
+    ):
+        self._is_leaving = False
+        self._health = UpstreamHealth()
         self._peers = peers
         self._settings = settings
-        self._client = HttpClient(settings.url, n_connections=settings.n_slots * 2)
+        self._upstream = Upstream(settings, client)
         self._slots = trio.Semaphore(settings.n_slots)
         self._attempts: dict[RequestId, _Attempt] = {}
-        self._outcomes: OrderedDict[RequestId, Outcome] = OrderedDict()
+        self._outcomes = OutcomeRecord()
         self._packers: dict[Connection, PiecePacker] = {}
         self._n_reports = 0
         self._n_running = 0
@@ -95,8 +102,17 @@
         peers.register(Submit, self._on_submit)
         peers.register(Cancel, self._on_cancel)
         peers.register(Bar, self._on_bar)
+        peers.register(AttemptQuery, self._on_query)
         peers.on_lost.append(self._on_lost)
 
+    @property
+    def state(self) -> UpstreamState:
+        """Whether new attempts are taken."""
+        if self._is_leaving:
+            return UpstreamState.LEAVING
+        is_down = self._health.is_down(trio.current_time() * 1000)
+        return UpstreamState.DOWN if is_down else UpstreamState.LIVE
+
     @property
     def n_attempts(self) -> int:
         """Attempts running or waiting."""
@@ -109,46 +125,77 @@
 
     async def close(self) -> None:
         """Close the connections to the upstream."""
-        await self._client.close()
+        await self._upstream.close()
 
     async def drain(self) -> None:
         """Take no new attempts and return when those in hand have ended."""
-        self.state = UpstreamState.LEAVING
+        self._is_leaving = True
+        await self._send_report()
         while self._attempts:
-            await trio.sleep(0.05)
+            await trio.sleep(DRAIN_POLL_MS / 1000)
 
     async def _on_submit(self, connection: Connection, submit: Submit) -> None:
         assert self._nursery is not None
         request_id = submit.request_id
-        packer = self._packer(connection)
-        if request_id in self._outcomes or request_id in self._attempts:
+        sender = (connection.identity.name, connection.identity.start_id)
+        if (request_id.entry, request_id.start_id) != sender:
+            log.warning("submit.foreign", request=str(request_id), sender=sender[0])
+            return
+        if request_id in self._attempts:
             # A doubled message; the first one is answered for.
             return
+        packer = self._packer(connection)
+        if not self._outcomes.may_start(request_id):
+            reason = "the attempt was barred or has ended"
+            outcome = self._outcomes.get(request_id)
+            packer.end(End(request_id, outcome, submit.n_pieces_received, reason))
+            return
         if self.state is not UpstreamState.LIVE:
-            packer.end(End(request_id, Outcome.NOT_RUN, 0, f"agent is {self.state}"))
+            packer.end(self._refuse(submit))
             return
-        attempt = self._attempts[request_id] = _Attempt(submit)
-        self._nursery.start_soon(self._run, connection, packer, attempt)
+        attempt = _Attempt(submit, connection, packer)
+        self._attempts[request_id] = attempt
+        self._nursery.start_soon(self._run, attempt)
+
+    def _refuse(self, submit: Submit) -> End:
+        self._outcomes.put(submit.request_id, Outcome.NOT_RUN)
+        return End(
+            submit.request_id,
+            Outcome.NOT_RUN,
+            submit.n_pieces_received,
+            f"agent is {self.state}",
+            refusal=Refusal.LEAVING,
+        )
 
     async def _on_cancel(self, connection: Connection, cancel: Cancel) -> None:
         attempt = self._attempts.get(cancel.request_id)
-        if attempt is not None and attempt.submit.repeatable:
-            attempt.scope.cancel()
+        if attempt is not None:
+            attempt.stop()
 
     async def _on_bar(self, connection: Connection, bar: Bar) -> Barred:
-        request_id = bar.request_id
-        attempt = self._attempts.get(request_id)
-        if attempt is not None and not attempt.started:
-            attempt.scope.cancel()
-            self._remember(request_id, Outcome.NOT_RUN)
-        elif attempt is not None:
-            return Barred(request_id, Outcome.UNKNOWN)
-        elif request_id not in self._outcomes:
-            self._remember(request_id, Outcome.NOT_RUN)
-        return Barred(request_id, self._outcomes[request_id])
+        attempt = self._attempts.get(bar.request_id)
+        if attempt is None:
+            return Barred(bar.request_id, self._outcomes.bar(bar.request_id))
+        attempt.stop()
+        if attempt.barred:
+            return Barred(bar.request_id, Outcome.NOT_RUN)
+        with trio.move_on_after(bar.wait_ms / 1000):
+            await attempt.ended.wait()
+        return Barred(bar.request_id, self._outcomes.get(bar.request_id))
+
+    async def _on_query(
+        self, connection: Connection, query: AttemptQuery
+    ) -> AttemptState:
+        is_held = query.request_id in self._attempts
+        return AttemptState(query.request_id, is_held)
 
     def _on_lost(self, connection: Connection) -> None:
-        self._packers.pop(connection, None)
+        packer = self._packers.pop(connection, None)
+        if packer is not None:
+            packer.close()
+        for attempt in self._attempts.values():
+            if attempt.connection is connection:
+                attempt.stop()
 
     def _packer(self, connection: Connection) -> PiecePacker:
         packer = self._packers.get(connection)
@@ -158,93 +205,72 @@
             self._nursery.start_soon(packer.run)
         return packer
 
-    def _remember(self, request_id: RequestId, outcome: Outcome) -> None:
-        self._outcomes[request_id] = outcome
-        if len(self._outcomes) > MAX_REMEMBERED_ATTEMPTS:
-            self._outcomes.popitem(last=False)
-
-    async def _run(
-        self, connection: Connection, packer: PiecePacker, attempt: _Attempt
-    ) -> None:
+    async def _run(self, attempt: _Attempt) -> None:
         submit = attempt.submit
-        end = End(submit.request_id, Outcome.NOT_RUN, 0, "cancelled before its start")
-        try:
-            with attempt.scope:
-                with trio.move_on_after(submit.deadline_ms / 1000):
-                    await self._slots.acquire()
-                    try:
-                        attempt.started = True
-                        end = await self._run_upstream(connection, packer, submit)
-                    finally:
-                        self._slots.release()
-            if attempt.started and end.outcome is Outcome.NOT_RUN and not end.error:
-                end = end._replace(outcome=Outcome.UNKNOWN)
-        finally:
-            self._attempts.pop(submit.request_id, None)
-        self._remember(submit.request_id, end.outcome)
-        packer.end(end)
-
-    async def _run_upstream(
-        self, connection: Connection, packer: PiecePacker, submit: Submit
-    ) -> End:
+        attempt.scope.deadline = trio.current_time() + submit.deadline_ms / 1000
+        end = None
+        with attempt.scope:
+            end = await self._run_in_slot(attempt)
+        if end is None:
+            end = _cut_short(attempt)
+        self._outcomes.put(submit.request_id, end.outcome)
+        del self._attempts[submit.request_id]
+        attempt.ended.set()
+        attempt.packer.end(end)
+
+    async def _run_in_slot(self, attempt: _Attempt) -> End | None:
+        async with self._slots:
+            # A slot may be handed over in the same step as the bar was answered.
+            if attempt.barred:
+                return None
+            attempt.started = True
+            if not attempt.submit.repeatable:
+                # Its outcome is worth more than the deadline.
+                attempt.scope.deadline = trio.current_time() + 1e9
+            self._n_running += 1
+            try:
+                return await self._forward(attempt)
+            finally:
+                self._n_running -= 1
+
+    async def _forward(self, attempt: _Attempt) -> End:
         """Forward one attempt; returns its end."""
-        request_id = submit.request_id
-        n_pieces = submit.n_pieces_received
-        self._n_running += 1
+        submit = attempt.submit
         try:
-            async with self._client.stream(
-                submit.method,
-                submit.path,
-                submit.headers,
-                self._body(submit),
-                UPSTREAM_TIMEOUT_MS,
-            ) as response:
-                head = Head(request_id, response.status, response.headers)
-                await connection.notify(head)
-                async for piece in self._pieces(response.chunks()):
-                    packer.add(request_id, n_pieces, piece)
-                    n_pieces += 1
-            return End(request_id, Outcome.RAN, n_pieces)
+            async with self._upstream.forward(submit) as answer:
+                self._health.succeeded()
+                head = Head(submit.request_id, answer.status, answer.headers)
+                attempt.packer.head(head)
+                async for piece in answer.pieces():
+                    attempt.packer.add(submit.request_id, attempt.n_pieces, piece)
+                    attempt.n_pieces += 1
+            return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
         except UpstreamUnreachable as error:
+            if not error.sent:
+                await self._note_refusal()
             outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
-            return End(request_id, outcome, n_pieces, f"upstream: {error}")
-        except PeerUnreachable as error:
-            return End(request_id, Outcome.UNKNOWN, n_pieces, f"entry host: {error}")
-        finally:
-            self._n_running -= 1
-
-    def _body(self, submit: Submit) -> bytes:
-        if self._settings.kind is UpstreamKind.PLAIN:
-            return submit.body
-        document = json.loads(submit.body)
-        document["priority"] = 0 if submit.priority_class is PriorityClass.URGENT else 1
-        document["resume_after"] = submit.n_pieces_received
-        return json.dumps(document).encode()
-
-    async def _pieces(self, chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-        """Yield an engine's events one by one, a plain service's chunks as they are."""
-        if self._settings.kind is UpstreamKind.PLAIN:
-            async for chunk in chunks:
-                yield chunk
-            return
-        rest = b""
-        async for chunk in chunks:
-            *events, rest = (rest + chunk).split(EVENT_SEPARATOR)
-            for event in events:
-                yield event + EVENT_SEPARATOR
-        if rest:
-            yield rest
+            reason = f"upstream: {error}"
+            return End(submit.request_id, outcome, attempt.n_pieces, reason)
+
+    async def _note_refusal(self) -> None:
+        was_live = self.state is UpstreamState.LIVE
+        self._health.failed(trio.current_time() * 1000)
+        if was_live:
+            await self._send_report()
 
     async def _report(self) -> None:
         while True:
-            report = self._make_report()
-            for connection in list(self._peers.accepted):
-                try:
-                    await connection.notify(report)
-                except PeerUnreachable as error:
-                    log.info("report.failed", reason=str(error))
+            await self._send_report()
             await trio.sleep(REPORT_INTERVAL_MS / 1000)
 
+    async def _send_report(self) -> None:
+        report = self._make_report()
+        for connection in list(self._peers.accepted):
+            try:
+                await connection.notify(report)
+            except PeerUnreachable as error:
+                log.info("report.failed", reason=str(error))
+
     def _make_report(self) -> AgentReport:
         self._n_reports += 1
         return AgentReport(
@@ -259,3 +285,18 @@
             kv_bytes_limit=0,
             report_number=self._n_reports,
         )
+
+
+def _cut_short(attempt: _Attempt) -> End:
+    """Return the end of an attempt that was stopped or ran out of time."""
+    end = End(
+        attempt.submit.request_id,
+        Outcome.NOT_RUN,
+        attempt.n_pieces,
+        "stopped before its start",
+        refusal=Refusal.NONE if attempt.barred else Refusal.DEADLINE,
+    )
+    if attempt.started:
+        reason = "stopped while it ran"
+        return dataclasses.replace(end, outcome=Outcome.UNKNOWN, error=reason)
+    return end
--- /dev/null
+++ b/poplarward/requests/health.py
@@ -0,0 +1,44 @@
+"""Tells from refused connections whether an upstream is down."""
+
+from __future__ import annotations
+
+__all__ = ["UpstreamHealth"]
+
+MIN_PAUSE_MS = 500.0
+MAX_PAUSE_MS = 8_000.0
+
+
+class UpstreamHealth:
+    """Whether an upstream takes connections.
+
+    A refused connection marks it down for a pause, after which requests may try it
+    again; the pause doubles with each refusal until one succeeds. An upstream that is
+    down has no load, so without the mark it would draw requests.
+
+    Examples
+    --------
+    >>> health = UpstreamHealth()
+    >>> health.failed(now_ms=0)
+    >>> health.is_down(now_ms=499), health.is_down(now_ms=500)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self._down_until_ms = float("-inf")
+        self._pause_ms = MIN_PAUSE_MS
+
+    def is_down(self, now_ms: float) -> bool:
+        """Return whether new requests are to go elsewhere."""
+        return now_ms < self._down_until_ms
+
+    def failed(self, now_ms: float) -> None:
+        """Note a refused connection."""
+        if self.is_down(now_ms):
+            return
+        self._down_until_ms = now_ms + self._pause_ms
+        self._pause_ms = min(MAX_PAUSE_MS, self._pause_ms * 2)
+
+    def succeeded(self) -> None:
+        """Note an answer."""
+        self._down_until_ms = float("-inf")
+        self._pause_ms = MIN_PAUSE_MS
--- a/poplarward/requests/relay.py
+++ b/poplarward/requests/relay.py
@@ -1,95 +1,27 @@
-"""Runs attempts at agents and puts their answers together, piece by piece."""
+"""Sends attempts to agents and hands each answer to the attempt it belongs to."""
 
 from __future__ import annotations
 
 import itertools
-import math
-from collections.abc import AsyncIterator
-from dataclasses import dataclass
 
 import trio
 
-from ..errors import PeerUnreachable
+from ..errors import PeerTimeout, PeerUnreachable
 from ..protocol import Connection, Peers, RequestId
-from ..protocol.requests import Cancel, End, Head, Outcome, Pieces, Submit
+from ..protocol.attempts import AttemptQuery
+from ..protocol.peers import CallRefused
+from ..protocol.requests import Bar, Cancel, End, Head, Outcome, Pieces, Submit
 from ..telemetry import get_logger
+from .streams import AttemptStream
 
-__all__ = ["AttemptStream", "Relay"]
+__all__ = ["Relay"]
 
-MAX_BUFFERED_BYTES = 1024 * 1024
+BAR_PAUSE_MS = 100.0
+QUERY_TIMEOUT_MS = 1_000.0
 
 log = get_logger("relay")
 
 
-@dataclass(frozen=True, slots=True)
-class Piece:
-    """The next piece of an answer."""
-
-    data: bytes
-
-
-class AttemptStream:
-    """The answer to one attempt, as it arrives.
-
-    Wrong, late and doubled pieces are dropped. A gap, or an end that counts more
-    pieces than arrived, ends the stream with an error.
-    """
-
-    def __init__(self, request_id: RequestId, n_pieces_received: int):
-        self.request_id = request_id
-        self.n_pieces = n_pieces_received
-        self._send, self._receive = trio.open_memory_channel[Head | Piece | End](
-            math.inf
-        )
-        self._n_buffered_bytes = 0
-        self._ended = False
-
-    async def events(self) -> AsyncIterator[Head | Piece | End]:
-        """Yield the head, the pieces and the end."""
-        async for event in self._receive:
-            if isinstance(event, Piece):
-                self._n_buffered_bytes -= len(event.data)
-            yield event
-            if isinstance(event, End):
-                return
-
-    def put_head(self, head: Head) -> None:
-        """Take the head from the agent."""
-        if not self._ended:
-            self._send.send_nowait(head)
-
-    def put_pieces(self, first_piece: int, pieces: list[bytes]) -> None:
-        """Take pieces from the agent."""
-        for number, data in enumerate(pieces, start=first_piece):
-            if self._ended or number < self.n_pieces:
-                continue
-            if number > self.n_pieces:
-                self.fail("a piece is missing")
-                return
-            self.n_pieces += 1
-            self._n_buffered_bytes += len(data)
-            self._send.send_nowait(Piece(data))
-        if self._n_buffered_bytes > MAX_BUFFERED_BYTES:
-            self.fail("the caller reads too slowly")
-
-    def put_end(self, end: End) -> None:
-        """Take the end from the agent."""
-        if self._ended:
-            return
-        if end.n_pieces != self.n_pieces and not end.error:
-            self.fail("the answer is short")
-            return
-        self._ended = True
-        self._send.send_nowait(end)
-
-    def fail(self, reason: str) -> None:
-        """End the stream with an error; the attempt may have run."""
-        if not self._ended:
-            self._ended = True
-            end = End(self.request_id, Outcome.UNKNOWN, self.n_pieces, reason)
-            self._send.send_nowait(end)
-
-
 class Relay:
     """The attempts that an entry host has at agents.
 
@@ -108,24 +40,32 @@
         peers.register(End, self._on_end)
         peers.on_lost.append(self._on_lost)
 
+    @property
+    def n_streams(self) -> int:
+        """Attempts whose answers are awaited."""
+        return len(self._streams)
+
     def new_request_id(self) -> RequestId:
         """Return an identity that no other attempt has."""
         identity = self._peers.identity
         return RequestId(identity.name, identity.start_id, next(self._sequences))
 
     async def submit(self, connection: Connection, submit: Submit) -> AttemptStream:
-        """Send an attempt to an agent; raises `PeerUnreachable`."""
+        """Send an attempt to an agent; a failure breaks the stream returned."""
         stream = AttemptStream(submit.request_id, submit.n_pieces_received)
         self._streams[submit.request_id.sequence] = (connection, stream)
         try:
             await connection.notify(submit)
+        except PeerUnreachable:
+            # What was written before the connection closed may have arrived.
+            stream.fail("the connection to the agent was lost")
         except BaseException:
             self.forget(stream)
             raise
         return stream
 
     async def cancel(self, stream: AttemptStream) -> None:
-        """Tell the agent that the caller has left."""
+        """Tell the agent that the answer is not wanted any more."""
         held = self._streams.get(stream.request_id.sequence)
         if held is None:
             return
@@ -134,6 +74,39 @@
         except PeerUnreachable as error:
             log.info("cancel.failed", request=str(stream.request_id), reason=str(error))
 
+    async def is_held(self, stream: AttemptStream) -> bool:
+        """Ask the agent whether it still has an attempt in hand."""
+        connection, _ = self._streams[stream.request_id.sequence]
+        query = AttemptQuery(stream.request_id)
+        try:
+            return (await connection.call(query, QUERY_TIMEOUT_MS)).is_held
+        except (PeerTimeout, PeerUnreachable, CallRefused):
+            return False
+
+    async def bar(
+        self, used: Connection, request_id: RequestId, timeout_ms: float
+    ) -> Outcome:
+        """Learn what became of an attempt, and that it never start if it has not.
+
+        Dials again until the agent answers or the time is over. `used` is the
+        connection that carried the attempt: an agent that has restarted since can
+        not tell what its earlier start ran, so the outcome is then unknown.
+        """
+        expires_at = trio.current_time() + timeout_ms / 1000
+        with trio.move_on_at(expires_at):
+            while True:
+                try:
+                    connection = await self._peers.connection(used.identity.address)
+                    if connection.identity.start_id != used.identity.start_id:
+                        return Outcome.UNKNOWN
+                    left_ms = (expires_at - trio.current_time()) * 1000
+                    bar = Bar(request_id, wait_ms=int(left_ms / 2))
+                    return (await connection.call(bar, left_ms)).outcome
+                except (PeerTimeout, PeerUnreachable, CallRefused) as error:
+                    log.info("bar.failed", request=str(request_id), reason=str(error))
+                await trio.sleep(BAR_PAUSE_MS / 1000)
+        return Outcome.UNKNOWN
+
     def forget(self, stream: AttemptStream) -> None:
         """Drop whatever still arrives for an attempt."""
         self._streams.pop(stream.request_id.sequence, None)
--- /dev/null
+++ b/poplarward/requests/upstream.py
@@ -0,0 +1,141 @@
+"""Forwards attempts to the upstream behind an agent and cuts answers into pieces."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any, NamedTuple, Protocol
+
+from ..errors import UpstreamUnreachable
+from ..protocol.reports import UpstreamKind
+from ..protocol.requests import PriorityClass, Submit
+from ..transport import HttpClient
+
+__all__ = [
+    "DONE_EVENT",
+    "EVENT_STREAM",
+    "Upstream",
+    "UpstreamAnswer",
+    "UpstreamClient",
+    "UpstreamSettings",
+]
+
+EVENT_SEPARATOR = b"\n\n"
+DONE_EVENT = b"data: [DONE]\n\n"
+EVENT_STREAM = "text/event-stream"
+UPSTREAM_TIMEOUT_MS = 30_000.0
+
+
+class UpstreamSettings(NamedTuple):
+    """What an agent stands before.
+
+    Attributes
+    ----------
+    kind : UpstreamKind
+    name : str
+        Model group or plain service that the upstream belongs to.
+    url : str
+        Where the upstream listens, by IP number.
+    n_slots : int
+        Requests that it runs at once.
+    """
+
+    kind: UpstreamKind
+    name: str
+    url: str
+    n_slots: int
+
+
+class UpstreamClient(Protocol):
+    """Calls one upstream; `HttpClient` is the one used outside of tests."""
+
+    def stream(
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]] | None = None,
+        body: bytes = b"",
+        timeout_ms: float = 5000,
+    ) -> AbstractAsyncContextManager[Any]:
+        """Open a response; raises `UpstreamUnreachable`."""
+        ...
+
+    async def close(self) -> None:
+        """Close all connections."""
+        ...
+
+
+class UpstreamAnswer:
+    """An upstream's answer, received piece by piece.
+
+    An engine's stream of events is cut into its events; it is whole only if the
+    event that marks its end has come.
+    """
+
+    def __init__(self, response: Any, kind: UpstreamKind):
+        self.status: int = response.status
+        self.headers: list[tuple[str, str]] = response.headers
+        self._response = response
+        content_type = dict(response.headers).get("content-type", "")
+        self._has_events = kind is UpstreamKind.ENGINE and content_type.startswith(
+            EVENT_STREAM
+        )
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield events, or chunks as they arrive; raises `UpstreamUnreachable`."""
+        if not self._has_events:
+            async for chunk in self._response.chunks():
+                yield chunk
+            return
+        rest = b""
+        is_done = False
+        async for chunk in self._response.chunks():
+            *events, rest = (rest + chunk).split(EVENT_SEPARATOR)
+            for event in events:
+                piece = event + EVENT_SEPARATOR
+                is_done = piece == DONE_EVENT
+                yield piece
+        if not is_done:
+            raise UpstreamUnreachable("the stream ended early", sent=True)
+
+
+class Upstream:
+    """The upstream that an agent stands before.
+
+    Parameters
+    ----------
+    settings : UpstreamSettings
+    client : UpstreamClient, optional
+        Replaces the HTTP client in tests.
+    """
+
+    def __init__(self, settings: UpstreamSettings, client: UpstreamClient | None):
+        self.settings = settings
+        self._client = client or HttpClient(
+            settings.url, n_connections=settings.n_slots * 2
+        )
+
+    async def close(self) -> None:
+        """Close the connections to the upstream."""
+        await self._client.close()
+
+    @asynccontextmanager
+    async def forward(self, submit: Submit) -> AsyncIterator[UpstreamAnswer]:
+        """Open the answer to an attempt; raises `UpstreamUnreachable`."""
+        async with self._client.stream(
+            submit.method,
+            submit.path,
+            submit.headers,
+            self._body(submit),
+            UPSTREAM_TIMEOUT_MS,
+        ) as response:
+            yield UpstreamAnswer(response, self.settings.kind)
+
+    def _body(self, submit: Submit) -> bytes:
+        if self.settings.kind is UpstreamKind.PLAIN:
+            return submit.body
+        document = json.loads(submit.body)
+        document["priority"] = 0 if submit.priority_class is PriorityClass.URGENT else 1
+        document["resume_after"] = submit.n_pieces_received
+        return json.dumps(document).encode()
