Membership from probes, suspicions that can be contradicted, and delegates

Cause: only the platform's lagging list told which processes live; a dead, frozen or cut host stayed listed. Ruled out: watching every process from every entry host (grows with the square); watchers in other data centres (a cut data centre would lose its own processes); suspecting at the first silence (half-cut hosts are then suspected: test red). Change: each process is probed by 3 (entry hosts) or 2 (agents) entry hosts of its data centre, indirectly before it is suspected; changes go once to each entry host, through two delegates to other data centres; digests of 64 parts mend lost ones. A host that nobody answers judges nobody; found by the frozen-entry test, which was red before. Tests seen failing first, by breaking the code: no indirect probes (half-cut red), no comparison of digests (cut data centre red).

--- /dev/null
+++ b/poplarward/coordination/membership/membership.py
@@ -0,0 +1,345 @@
+"""What an entry host knows of all processes of the deployment.
+
+Each process is watched by a few entry hosts of its data centre. A watcher that gets
+no answer asks others to try before it suspects the process, and the suspicion is
+spread so that the process can contradict it. Delegates of each data centre watch
+those of the others, so a data centre that is cut off is noticed as a whole: its
+processes are suspect for the others, and live for each other.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import trio
+
+from ...protocol import Connection, Peers, ProcessIdentity
+from ...protocol.heartbeats import (
+    MemberRecord,
+    MemberState,
+    ReachabilityReport,
+)
+from ...telemetry import get_logger
+from ...transport import Address
+from ..hosts import HostEntry
+from .assignment import delegates_of, watched_by
+from .presence import Presence
+from .probing import Prober, Stalled
+from .reachability import Reachability
+from .spreading import Spreader
+from .table import MemberTable
+
+__all__ = ["Member", "Membership", "MembershipTiming"]
+
+ASSIGN_INTERVAL_MS = 500.0
+ISOLATED_INTERVALS = 2.5
+
+log = get_logger("membership")
+
+
+class Member(NamedTuple):
+    """A process as the rest of the program sees it."""
+
+    identity: ProcessIdentity
+    state: MemberState
+    callers_address: str
+
+
+class MembershipTiming(NamedTuple):
+    """How quickly silence counts.
+
+    Attributes
+    ----------
+    probe_interval_ms : float
+        Time between the probes of one watcher.
+    suspect_ms : float
+        Time from a suspicion until the process counts as gone.
+    forget_ms : float
+        Time that a process that is gone is still probed and remembered.
+    """
+
+    probe_interval_ms: float = 1000.0
+    suspect_ms: float = 5000.0
+    forget_ms: float = 60_000.0
+
+
+class Membership:
+    """The processes of the deployment and their states.
+
+    Parameters
+    ----------
+    presence : Presence
+        This process's own record.
+    listed_hosts : callable
+        Returns the platform's list of hosts, lagging as it may.
+
+    Attributes
+    ----------
+    on_change : list of callable
+        Called after each change of a state.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        presence: Presence,
+        listed_hosts: Callable[[], Iterable[HostEntry]],
+        timing: MembershipTiming | None = None,
+        seed: int = 0,
+    ):
+        self.on_change: list[Callable[[], None]] = []
+        self._peers = peers
+        self._presence = presence
+        self._listed_hosts = listed_hosts
+        self._timing = timing or MembershipTiming()
+        self._rng = random.Random(seed)
+        self._table = MemberTable()
+        self._spreader = Spreader(peers, self._table, self._merge)
+        self._prober = Prober(peers, presence, self._rng)
+        self._reachability = Reachability()
+        self._watches: dict[str, trio.CancelScope] = {}
+        self._needs_assignment = True
+        self._answered_at = 0.0
+        self._scope = trio.CancelScope()
+        presence.table_digest = self._table.digest
+        peers.register(ReachabilityReport, self._on_reachability)
+
+    def members(
+        self, role: str | None = None, data_centre: str | None = None
+    ) -> list[Member]:
+        """Return the processes of a role and a data centre, in any state."""
+        return [
+            self._member(record)
+            for record in self._table.records.values()
+            if role in (None, record.role) and data_centre in (None, record.data_centre)
+        ]
+
+    def live(
+        self, role: str | None = None, data_centre: str | None = None
+    ) -> list[Member]:
+        """Return the processes that may be given work."""
+        found = self.members(role, data_centre)
+        return [member for member in found if member.state is MemberState.LIVE]
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to watch and to be watched."""
+        self._read_hosts()
+        self._announce()
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Tell the others that this process is leaving, and stop watching."""
+        self._presence.leave()
+        self._announce()
+        with trio.move_on_after(1):
+            await self._spreader.flush()
+        self._scope.cancel()
+
+    def _member(self, record: MemberRecord) -> Member:
+        identity = ProcessIdentity(
+            record.role,
+            record.name,
+            record.start_id,
+            record.address,
+            record.data_centre,
+        )
+        state = record.state
+        if state is MemberState.LIVE and self._is_cut_off(record.data_centre):
+            state = MemberState.SUSPECT
+        return Member(identity, state, record.callers_address)
+
+    def _is_cut_off(self, data_centre: str) -> bool:
+        return data_centre in self._reachability.cut_off
+
+    def _announce(self) -> None:
+        record = self._presence.record()
+        self._merge([record])
+        self._spreader.publish([record])
+
+    def _merge(self, records: Iterable[MemberRecord]) -> list[MemberRecord]:
+        news = self._table.merge(records)
+        for record in news:
+            if record.name == self._peers.identity.name:
+                self._hear_of_self(record)
+            log.debug("member.changed", name=record.name, state=record.state)
+        if news:
+            self._needs_assignment = True
+            self._changed()
+        return news
+
+    def _hear_of_self(self, record: MemberRecord) -> None:
+        own = self._presence.record()
+        if record == own:
+            return
+        self._presence.hear(record.incarnation, record.state)
+        contradiction = self._presence.record()
+        self._table.merge([contradiction])
+        self._spreader.publish([contradiction])
+
+    def _changed(self) -> None:
+        for callback in self.on_change:
+            callback()
+
+    async def _run(self) -> None:
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                await self._spreader.start(nursery)
+                nursery.start_soon(self._watch_data_centres)
+                while True:
+                    self._read_hosts()
+                    if self._needs_assignment:
+                        self._needs_assignment = False
+                        self._assign(nursery)
+                    await trio.sleep(ASSIGN_INTERVAL_MS / 1000)
+
+    def _read_hosts(self) -> None:
+        """Take over what only the platform's list says."""
+        news = []
+        for host in self._listed_hosts():
+            held = self._table.records.get(host.name)
+            if held is None:
+                news.append(_record_of(host))
+            elif host.state == "leaving" and held.state is MemberState.LIVE:
+                news.append(held._replace(state=MemberState.LEAVING))
+        self._spreader.publish(self._merge(news))
+
+    def _assign(self, nursery: trio.Nursery) -> None:
+        """Begin and end watches as the entry hosts come and go."""
+        name = self._peers.identity.name
+        watched = watched_by(name, self._table.records.values())
+        for gone in self._watches.keys() - watched:
+            self._watches.pop(gone).cancel()
+        for new in sorted(watched - self._watches.keys()):
+            scope = self._watches[new] = trio.CancelScope()
+            nursery.start_soon(self._watch, new, scope)
+
+    async def _watch(self, name: str, scope: trio.CancelScope) -> None:
+        """Watch one process until another entry host does, or it is forgotten."""
+        with scope:
+            interval_s = self._timing.probe_interval_ms / 1000
+            await trio.sleep(self._rng.uniform(0, interval_s))
+            silent_since: float | None = None
+            while True:
+                held = self._table.records[name]
+                answered = await self._ask(held)
+                if answered:
+                    silent_since = None
+                elif answered is False:
+                    silent_since = silent_since or trio.current_time()
+                    if self._judge_silence(held, silent_since):
+                        return
+                await trio.sleep(self._rng.uniform(0.9, 1.1) * interval_s)
+
+    async def _ask(self, held: MemberRecord) -> bool | None:
+        """Tell whether a process answered, None if this one was held up."""
+        reply = await self._prober.probe(held)
+        if isinstance(reply, Stalled):
+            return None
+        if reply is not None:
+            self._learn(reply.record)
+            self._presence.note_status(_identity_of(reply.record), reply.status)
+            self._spreader.compare(held.name, held.address, reply.table_digest)
+            return True
+        helpers = [r for r in self._spreader.near() if r.name != held.name]
+        record = await self._prober.probe_through(held, helpers)
+        if record is not None:
+            self._learn(record)
+            return True
+        return False
+
+    def _learn(self, record: MemberRecord) -> None:
+        self._answered_at = trio.current_time()
+        self._spread(record)
+
+    def _spread(self, record: MemberRecord) -> None:
+        self._spreader.publish(self._merge([record]))
+
+    def _judge_silence(self, held: MemberRecord, silent_since: float) -> bool:
+        """Suspect a silent process, then count it as gone; True once forgotten."""
+        if self._is_isolated():
+            return False
+        silent_ms = (trio.current_time() - silent_since) * 1000
+        if held.state is MemberState.GONE:
+            if silent_ms < self._timing.forget_ms or self._is_listed(held.name):
+                return False
+            self._watches.pop(held.name, None)
+            self._table.forget(held.name)
+            return True
+        if silent_ms >= self._timing.suspect_ms:
+            self._spread(held._replace(state=MemberState.GONE))
+            log.info("member.gone", name=held.name)
+        elif held.state is MemberState.LIVE:
+            self._spread(held._replace(state=MemberState.SUSPECT))
+            log.info("member.suspect", name=held.name)
+        return False
+
+    def _is_isolated(self) -> bool:
+        """Tell whether nobody answers, so that this host is the one cut off."""
+        silent_ms = (trio.current_time() - self._answered_at) * 1000
+        limit_ms = ISOLATED_INTERVALS * self._timing.probe_interval_ms
+        return len(self._watches) > 1 and silent_ms > limit_ms
+
+    def _is_listed(self, name: str) -> bool:
+        return any(host.name == name for host in self._listed_hosts())
+
+    async def _watch_data_centres(self) -> None:
+        """As a delegate, find out which data centres can be reached."""
+        own = self._peers.identity
+        while True:
+            await trio.sleep(self._timing.probe_interval_ms / 1000)
+            delegates = delegates_of(self._table.records.values())
+            speakers = delegates.pop(own.data_centre, [])
+            self._reachability.keep_reporters(speakers)
+            if own.name not in speakers:
+                continue
+            async with trio.open_nursery() as nursery:
+                for data_centre, names in delegates.items():
+                    nursery.start_soon(self._check_reachable, data_centre, names)
+
+    async def _check_reachable(self, data_centre: str, names: list[str]) -> None:
+        answers = []
+        for name in names:
+            held = self._table.records[name]
+            reply = await self._prober.probe(held)
+            if isinstance(reply, Stalled):
+                return
+            answers.append(reply is not None)
+            if reply is not None:
+                self._learn(reply.record)
+                self._spreader.compare(name, held.address, reply.table_digest)
+        own = self._peers.identity
+        report = ReachabilityReport(data_centre, any(answers))
+        if self._reachability.note(own.name, report):
+            self._changed()
+        # Repeated while cut off, for hosts that start meanwhile.
+        if not report.is_reachable or self._reachability.was_cut_off(data_centre):
+            for record in self._spreader.near():
+                await self._spreader.notify(record.address, report)
+
+    async def _on_reachability(
+        self, connection: Connection, report: ReachabilityReport
+    ) -> None:
+        if self._reachability.note(connection.identity.name, report):
+            self._changed()
+
+
+def _record_of(host: HostEntry) -> MemberRecord:
+    """Return the record of a process of which only the platform's list tells."""
+    return MemberRecord(
+        host.name,
+        host.role,
+        host.data_centre,
+        Address.parse(host.peers_address),
+        host.callers_address,
+        start_id=0,
+        incarnation=0,
+        state=MemberState(host.state),
+    )
+
+
+def _identity_of(record: MemberRecord) -> ProcessIdentity:
+    return ProcessIdentity(
+        record.role, record.name, record.start_id, record.address, record.data_centre
+    )
--- /dev/null
+++ b/poplarward/coordination/membership/presence.py
@@ -0,0 +1,97 @@
+"""Answers the probes of the entry hosts that watch this process."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from ...protocol import Connection, Peers, ProcessIdentity
+from ...protocol.heartbeats import (
+    HeartbeatStatus,
+    MemberRecord,
+    MemberState,
+    Probe,
+    ProbeReply,
+)
+
+__all__ = ["Presence"]
+
+
+class Presence:
+    """This process as it tells others of itself; agents need no more than this.
+
+    Parameters
+    ----------
+    peers : Peers
+        Started already, so that the address is known.
+    callers_address : str
+        Where an entry host takes callers' requests.
+    status : callable, optional
+        Returns what heartbeats tell of the configuration.
+    now_ms : callable, optional
+        Wall clock; a later start of the process must read a later time.
+
+    Attributes
+    ----------
+    on_status : list of callable
+        Called with the sender and the status of each heartbeat received.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        callers_address: str = "",
+        status: Callable[[], HeartbeatStatus] = HeartbeatStatus,
+        now_ms: Callable[[], float] = lambda: time.time() * 1000,
+    ):
+        self.status = status
+        self.on_status: list[Callable[[ProcessIdentity, HeartbeatStatus], None]] = []
+        self.table_digest: Callable[[], bytes] = lambda: b""
+        self._peers = peers
+        self._callers_address = callers_address
+        self._incarnation = int(now_ms())
+        self._state = MemberState.LIVE
+        peers.register(Probe, self._on_probe)
+
+    def record(self) -> MemberRecord:
+        """Return this process's own record."""
+        identity = self._peers.identity
+        return MemberRecord(
+            identity.name,
+            identity.role,
+            identity.data_centre,
+            identity.address,
+            self._callers_address,
+            identity.start_id,
+            self._incarnation,
+            self._state,
+        )
+
+    def leave(self) -> None:
+        """Tell others from now on that this process is leaving."""
+        self._state = MemberState.LEAVING
+
+    def hear(self, incarnation: int, state: MemberState) -> None:
+        """Take note of what others think, and contradict it if it is wrong."""
+        if incarnation < self._incarnation:
+            return
+        match state:
+            case MemberState.LEAVING:
+                self._incarnation = incarnation
+                self._state = MemberState.LEAVING
+            case MemberState.SUSPECT | MemberState.GONE:
+                self._incarnation = incarnation + 1
+            case MemberState.LIVE:
+                # The clock went back since an earlier start of this process.
+                if incarnation > self._incarnation:
+                    self._incarnation = incarnation + 1
+
+    def note_status(self, sender: ProcessIdentity, status: HeartbeatStatus) -> None:
+        """Hand the status of a heartbeat to those who asked for it."""
+        for callback in self.on_status:
+            callback(sender, status)
+
+    async def _on_probe(self, connection: Connection, probe: Probe) -> ProbeReply:
+        self.hear(probe.incarnation, probe.state)
+        self.note_status(connection.identity, probe.status)
+        return ProbeReply(self.record(), self.status(), self.table_digest())
