Send an answer's head, pieces and end in one message between hosts

Cause: a look-up that the upstream answers in 1.8 ms took 12.3 ms through the entry host. The agent sent head, piece and end as three messages, and the end waited for the next flush, 4 ms later. Ruled out: Nagle's delay (trio sets TCP_NODELAY).

Change: a frame carries several notices; what is no stream goes out when it is whole; the first message after a pause goes out at once, and only later ones wait for the flush interval.

--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -10,7 +10,7 @@
 
 import hmac
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import cbor2
@@ -33,7 +33,7 @@
 HANDSHAKE_TIMEOUT_S = 3.0
 RECONNECT_PAUSE_S = 0.2
 
-_NOTICE, _CALL, _REPLY, _REFUSAL = range(4)
+_NOTICE, _CALL, _REPLY, _REFUSAL, _NOTICES = range(5)
 
 log = get_logger("peers")
 
@@ -74,6 +74,10 @@
         """Send a message that needs no reply; raises `PeerUnreachable`."""
         await self._send(_NOTICE, 0, to_array(value))
 
+    async def notify_all(self, values: Sequence[Any]) -> None:
+        """Send messages that need no reply as one; raises `PeerUnreachable`."""
+        await self._send(_NOTICES, 0, [to_array(value) for value in values])
+
     async def call(self, value: Any, timeout_ms: float) -> Any:
         """Send a message and return the reply.
 
@@ -138,18 +142,27 @@
         if kind == _REFUSAL:
             self._settle(call_id, CallRefused(str(body)))
             return
+        if kind == _NOTICES:
+            for notice in body if isinstance(body, list) else [body]:
+                value = from_array(notice)
+                await self._handler_of(value, handlers)(self, value)
+            return
         value = from_array(body)
         if kind == _REPLY:
             self._settle(call_id, value)
             return
-        handler = handlers.get(type(value))
-        if handler is None:
-            raise DecodeError(f"no handler for {type(value).__name__}")
+        handler = self._handler_of(value, handlers)
         if kind == _CALL:
             nursery.start_soon(self._answer, handler, value, call_id)
         else:
             await handler(self, value)
 
+    def _handler_of(self, value: Any, handlers: dict[type, Handler]) -> Handler:
+        handler = handlers.get(type(value))
+        if handler is None:
+            raise DecodeError(f"no handler for {type(value).__name__}")
+        return handler
+
     async def _answer(self, handler: Handler, value: Any, call_id: int) -> None:
         try:
             reply = await handler(self, value)
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -242,7 +242,9 @@
                 head = Head(submit.request_id, answer.status, answer.headers)
                 attempt.packer.head(head)
                 async for piece in answer.pieces():
-                    attempt.packer.add(submit.request_id, attempt.n_pieces, piece)
+                    attempt.packer.add(
+                        submit.request_id, attempt.n_pieces, piece, answer.has_events
+                    )
                     attempt.n_pieces += 1
             return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
         except UpstreamUnreachable as error:
--- a/poplarward/requests/packing.py
+++ b/poplarward/requests/packing.py
@@ -11,6 +11,7 @@
 __all__ = ["PiecePacker"]
 
 FLUSH_INTERVAL_MS = 4.0
+MAX_HELD_BYTES = 64 * 1024
 
 
 class PiecePacker:
@@ -26,16 +27,22 @@
         self._heads: list[Head] = []
         self._batches: dict[int, PieceBatch] = {}
         self._ends: list[End] = []
+        self._n_bytes = 0
         self._wake = trio.Event()
         self._is_closed = False
 
     def head(self, head: Head) -> None:
-        """Add an answer's head."""
+        """Add an answer's head; it is sent with what comes after it."""
         self._heads.append(head)
-        self._wake.set()
 
-    def add(self, request_id: RequestId, piece_number: int, piece: bytes) -> None:
-        """Add the next piece of an answer."""
+    def add(
+        self, request_id: RequestId, piece_number: int, piece: bytes, is_stream: bool
+    ) -> None:
+        """Add the next piece of an answer.
+
+        A piece of a stream is sent at once. Others wait for the answer's end, unless
+        they become many.
+        """
         if self._is_closed:
             return
         batch = self._batches.get(request_id.sequence)
@@ -43,7 +50,9 @@
             batch = PieceBatch(request_id.sequence, piece_number, [])
             self._batches[request_id.sequence] = batch
         batch.pieces.append(piece)
-        self._wake.set()
+        self._n_bytes += len(piece)
+        if is_stream or self._n_bytes > MAX_HELD_BYTES:
+            self._wake.set()
 
     def end(self, end: End) -> None:
         """Add an answer's end."""
@@ -56,13 +65,19 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Send what was collected, until closed or the connection is lost."""
+        """Send what was collected, until closed or the connection is lost.
+
+        The first message after a pause goes out at once; under load one goes out
+        each `FLUSH_INTERVAL_MS`.
+        """
+        next_flush_at = trio.current_time()
         try:
             while not self._is_closed:
                 await self._wake.wait()
+                await trio.sleep_until(next_flush_at)
                 self._wake = trio.Event()
+                next_flush_at = trio.current_time() + FLUSH_INTERVAL_MS / 1000
                 await self._flush()
-                await trio.sleep(FLUSH_INTERVAL_MS / 1000)
         except PeerUnreachable:
             self._is_closed = True
 
@@ -70,12 +85,9 @@
         heads, self._heads = self._heads, []
         batches, self._batches = self._batches, {}
         ends, self._ends = self._ends, []
+        self._n_bytes = 0
         if self._is_closed:
             return
-        for head in heads:
-            await self._connection.notify(head)
-        if batches:
-            start_id = self._connection.identity.start_id
-            await self._connection.notify(Pieces(start_id, list(batches.values())))
-        for end in ends:
-            await self._connection.notify(end)
+        start_id = self._connection.identity.start_id
+        pieces = [Pieces(start_id, list(batches.values()))] if batches else []
+        await self._connection.notify_all([*heads, *pieces, *ends])
--- a/poplarward/requests/upstream.py
+++ b/poplarward/requests/upstream.py
@@ -71,6 +71,11 @@
 
     An engine's stream of events is cut into its events; it is whole only if the
     event that marks its end has come.
+
+    Attributes
+    ----------
+    has_events : bool
+        Whether the answer is a stream of events.
     """
 
     def __init__(self, response: Any, kind: UpstreamKind):
@@ -78,13 +83,13 @@
         self.headers: list[tuple[str, str]] = response.headers
         self._response = response
         content_type = dict(response.headers).get("content-type", "")
-        self._has_events = kind is UpstreamKind.ENGINE and content_type.startswith(
+        self.has_events = kind is UpstreamKind.ENGINE and content_type.startswith(
             EVENT_STREAM
         )
 
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield events, or chunks as they arrive; raises `UpstreamUnreachable`."""
-        if not self._has_events:
+        if not self.has_events:
             async for chunk in self._response.chunks():
                 yield chunk
             return
