--- a/poplarward/requests/packing.py
+++ b/poplarward/requests/packing.py
@@ -6,57 +6,88 @@
 
 from ..errors import PeerUnreachable
 from ..protocol import Connection, RequestId
-from ..protocol.requests import End, PieceBatch, Pieces
+from ..protocol.requests import End, Head, PieceBatch, Pieces
 
 __all__ = ["PiecePacker"]
 
 FLUSH_INTERVAL_MS = 4.0
+MAX_HELD_BYTES = 64 * 1024
 
 
 class PiecePacker:
-    """Collects pieces for one connection and sends them together.
+    """Collects answers for one connection and sends them together.
 
-    Pieces of one answer keep their order, and an answer's end goes after its pieces.
+    Of each answer the head goes first, then its pieces in order, then its end. Once
+    the connection is lost, whatever is added is dropped, so that an upstream's call
+    goes on undisturbed.
     """
 
     def __init__(self, connection: Connection):
         self._connection = connection
+        self._heads: list[Head] = []
         self._batches: dict[int, PieceBatch] = {}
         self._ends: list[End] = []
+        self._n_bytes = 0
         self._wake = trio.Event()
+        self._is_closed = False
 
-    def add(self, request_id: RequestId, piece_number: int, piece: bytes) -> None:
-        """Add the next piece of an answer."""
+    def head(self, head: Head) -> None:
+        """Add an answer's head; it is sent with what comes after it."""
+        self._heads.append(head)
+
+    def add(
+        self, request_id: RequestId, piece_number: int, piece: bytes, is_stream: bool
+    ) -> None:
+        """Add the next piece of an answer.
+
+        A piece of a stream is sent at once. Others wait for the answer's end, unless
+        they become many.
+        """
+        if self._is_closed:
+            return
         batch = self._batches.get(request_id.sequence)
         if batch is None:
             batch = PieceBatch(request_id.sequence, piece_number, [])
             self._batches[request_id.sequence] = batch
         batch.pieces.append(piece)
-        self._wake.set()
+        self._n_bytes += len(piece)
+        if is_stream or self._n_bytes > MAX_HELD_BYTES:
+            self._wake.set()
 
     def end(self, end: End) -> None:
         """Add an answer's end."""
         self._ends.append(end)
         self._wake.set()
 
+    def close(self) -> None:
+        """Drop what was collected and stop sending."""
+        self._is_closed = True
+        self._wake.set()
+
     async def run(self) -> None:
-        """Send what was collected, until the connection is lost."""
+        """Send what was collected, until closed or the connection is lost.
+
+        The first message after a pause goes out at once; under load one goes out
+        each `FLUSH_INTERVAL_MS`.
+        """
+        next_flush_at = trio.current_time()
         try:
-            while True:
+            while not self._is_closed:
                 await self._wake.wait()
+                await trio.sleep_until(next_flush_at)
                 self._wake = trio.Event()
+                next_flush_at = trio.current_time() + FLUSH_INTERVAL_MS / 1000
                 await self._flush()
-                await trio.sleep(FLUSH_INTERVAL_MS / 1000)
         except PeerUnreachable:
-            return
+            self._is_closed = True
 
     async def _flush(self) -> None:
-        batches = list(self._batches.values())
-        ends = self._ends
-        self._batches = {}
-        self._ends = []
-        if batches:
-            start_id = self._connection.identity.start_id
-            await self._connection.notify(Pieces(start_id, batches))
-        for end in ends:
-            await self._connection.notify(end)
+        heads, self._heads = self._heads, []
+        batches, self._batches = self._batches, {}
+        ends, self._ends = self._ends, []
+        self._n_bytes = 0
+        if self._is_closed:
+            return
+        start_id = self._connection.identity.start_id
+        pieces = [Pieces(start_id, list(batches.values()))] if batches else []
+        await self._connection.notify_all([*heads, *pieces, *ends])
