--- a/benchmarks/configuration_fleet.py
+++ b/benchmarks/configuration_fleet.py
@@ -159,10 +159,12 @@
         self.suspects: set[str] = set()
         self._nursery = nursery
         self._n_starts = 0
+        self._agents_of_entry: dict[str, list[ProcessIdentity]] | None = None
 
     def start(self, role: str, name: str, data_centre: str) -> FleetProcess:
         """Start a process, again if it ran before."""
         self._n_starts += 1
+        self._agents_of_entry = None
         number = self._n_starts
         host = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
         address = Address(host, 9000)
@@ -180,6 +182,7 @@
 
     def kill(self, name: str) -> None:
         """End a process at once."""
+        self._agents_of_entry = None
         self.processes.pop(name).scope.cancel()
 
     def live(self, role=None, data_centre=None) -> list[LiveMember]:
@@ -194,14 +197,18 @@
 
     def agents_of(self, entry: ProcessIdentity) -> list[ProcessIdentity]:
         """Return the agents that an entry host connects to."""
-        entries = [m.identity for m in self.live("entry", entry.data_centre)]
-        names = [e.name for e in entries]
-        return [
-            agent.identity
-            for agent in self.live("agent", entry.data_centre)
-            if entry.name
-            in rendezvous_ranking(agent.identity.name, names)[:ENTRIES_PER_AGENT]
-        ]
+        if self._agents_of_entry is None:
+            self._agents_of_entry = self._assign_agents()
+        return self._agents_of_entry.get(entry.name, [])
+
+    def _assign_agents(self) -> dict[str, list[ProcessIdentity]]:
+        assigned: dict[str, list[ProcessIdentity]] = {}
+        for (agent,) in self.live("agent"):
+            near = self.live("entry", agent.data_centre)
+            names = [member.identity.name for member in near]
+            for name in rendezvous_ranking(agent.name, names)[:ENTRIES_PER_AGENT]:
+                assigned.setdefault(name, []).append(agent)
+        return assigned
 
     async def put(self, name: str, spec: Any, expected_version: int = 0) -> int:
         """Write a workspace; returns its version."""
--- a/poplarward/coordination/configuration/__init__.py
+++ b/poplarward/coordination/configuration/__init__.py
@@ -7,7 +7,7 @@
 """
 
 from .members import ListedMembers, LiveMember, MembersView
-from .rollout import gather_rollout
+from .rollout import Rollout, gather_revisions, gather_rollout
 from .sync import ConfigurationSync
 
 __all__ = [
@@ -15,5 +15,7 @@
     "ListedMembers",
     "LiveMember",
     "MembersView",
+    "Rollout",
+    "gather_revisions",
     "gather_rollout",
 ]
--- a/poplarward/coordination/configuration/reader.py
+++ b/poplarward/coordination/configuration/reader.py
@@ -41,14 +41,11 @@
 
     Attributes
     ----------
-    is_watching : bool
-        Whether a watch is open.
     has_failed : bool
         Whether the object API gave no answer to the last call.
     """
 
     def __init__(self, store: ObjectStore, view: ConfigurationView, rng: random.Random):
-        self.is_watching = False
         self.has_failed = False
         self._store = store
         self._view = view
@@ -94,16 +91,12 @@
             await self._pause(error)
 
     async def _watch(self) -> None:
-        self.is_watching = True
-        try:
-            watch = self._store.watch(STORE_KIND, self._view.revision)
-            async with aclosing(watch) as events:
-                async for event in events:
-                    self._n_failures = 0
-                    self.has_failed = False
-                    self._view.apply(resource_of(event.object, event.deleted))
-        finally:
-            self.is_watching = False
+        watch = self._store.watch(STORE_KIND, self._view.revision)
+        async with aclosing(watch) as events:
+            async for event in events:
+                self._n_failures = 0
+                self.has_failed = False
+                self._view.apply(resource_of(event.object, event.deleted))
         raise StoreUnavailable("the watch ended")
 
     async def _list_again(self) -> None:
--- a/poplarward/coordination/configuration/rollout.py
+++ b/poplarward/coordination/configuration/rollout.py
@@ -15,7 +15,7 @@
 from .publisher import Publisher
 from .sources import readers_of
 
-__all__ = ["Rollout", "gather_rollout", "rollout_of"]
+__all__ = ["Rollout", "gather_revisions", "gather_rollout", "rollout_of"]
 
 REPORT_TIMEOUT_MS = 1500.0
 
@@ -55,8 +55,17 @@
 async def gather_rollout(
     peers: Peers, publisher: Publisher, members: MembersView, revision: int
 ) -> Rollout:
-    """Ask the readers of every data centre what is in force below them."""
-    entries = [member.identity for member in members.live(role="entry")]
+    """Return how far a revision has come over the whole deployment."""
+    revisions = await gather_revisions(peers, publisher, members)
+    live = [member.identity.name for member in members.live()]
+    return rollout_of(revision, live, revisions)
+
+
+async def gather_revisions(
+    peers: Peers, publisher: Publisher, members: MembersView
+) -> dict[str, int]:
+    """Ask the readers of every data centre what is in force below them, by name."""
+    entries = [member.identity for member in members.live("entry")]
     data_centres = sorted({entry.data_centre for entry in entries})
     readers = {name for dc in data_centres for name in readers_of(dc, entries)}
     revisions = dict(publisher.rollout_report().revisions)
@@ -75,5 +84,4 @@
         for entry in entries:
             if entry.name in readers and entry.name != peers.identity.name:
                 nursery.start_soon(ask, entry)
-    live = [member.identity.name for member in members.live()]
-    return rollout_of(revision, live, revisions)
+    return revisions
--- a/poplarward/coordination/configuration/sync.py
+++ b/poplarward/coordination/configuration/sync.py
@@ -64,8 +64,8 @@
     ----------
     ready : trio.Event
         Set once the configuration may be relied on.
-    reads_store : bool
-        Whether this process holds a watch of the object API.
+    is_store_reachable : bool
+        Whether the object API answered this process's last call.
     """
 
     def __init__(
@@ -91,9 +91,9 @@
         peers.register(ConfigurationDelta, self._on_delta)
 
     @property
-    def reads_store(self) -> bool:
-        """Whether this process holds a watch of the object API."""
-        return self._reader.is_watching
+    def is_store_reachable(self) -> bool:
+        """Whether the object API answered this process's last call."""
+        return not self._reader.has_failed
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow and to pass on."""
@@ -127,10 +127,12 @@
         return self._identity.name in self._readers()
 
     def _readers(self) -> list[str]:
-        return readers_of(self._identity.data_centre, self._entries())
+        data_centre = self._identity.data_centre
+        return readers_of(data_centre, self._entries(data_centre))
 
-    def _entries(self) -> list[ProcessIdentity]:
-        members = self._members.live(role="entry") if self._members else []
+    def _entries(self, data_centre: str | None = None) -> list[ProcessIdentity]:
+        """Return the live entry hosts, this process among them if it is one."""
+        members = self._members.live("entry", data_centre) if self._members else []
         entries = [member.identity for member in members]
         own = self._identity
         if own.role == "entry" and all(entry.name != own.name for entry in entries):
@@ -191,11 +193,11 @@
                 for connection in self._peers.accepted
                 if connection.identity.role == "entry"
             }
-        own_name = self._identity.name
-        readers = self._readers()
-        if own_name in readers:
+        near = self._entries(self._identity.data_centre)
+        readers = readers_of(self._identity.data_centre, near)
+        if self._identity.name in readers:
             return {}
-        return {e.name: e for e in self._entries() if e.name in readers}
+        return {entry.name: entry for entry in near if entry.name in readers}
 
     def _checked(
         self, source: str | None, prefers_far: bool
@@ -256,7 +258,8 @@
                     if reply.is_same and pull.digest == view.digest:
                         view.confirm(reply.revision)
                     elif reply.revision == view.revision:
-                        self._report_difference(connection)
+                        name = connection.identity.name
+                        log.error("configuration.differs", peer=name)
                     return reply.is_ready
                 case ConfigurationDelta():
                     apply_delta(view, reply)
@@ -281,13 +284,6 @@
             view.revision, view.digest, is_following, report, revision, chunk
         )
 
-    def _report_difference(self, connection: Connection) -> None:
-        log.error(
-            "configuration.differs",
-            peer=connection.identity.name,
-            revision=self._view.revision,
-        )
-
     async def _on_delta(
         self, connection: Connection, delta: ConfigurationDelta
     ) -> None:
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -22,6 +22,7 @@
     "PeerUnreachable",
     "PoplarwardError",
     "Refused",
+    "RevisionTooOld",
     "StoreUnavailable",
     "UpstreamUnreachable",
     "WriteUnknown",
@@ -56,6 +57,10 @@
     """A peer did not answer a call in time."""
 
 
+class RevisionTooOld(PoplarwardError):
+    """The changes since a revision are not kept any more; list and start anew."""
+
+
 class StoreUnavailable(PoplarwardError):
     """The platform's object API gave no usable answer."""
 
--- a/poplarward/operations/__init__.py
+++ b/poplarward/operations/__init__.py
@@ -4,6 +4,14 @@
 Connect, gRPC and gRPC-Web to operators who show a valid credential.
 """
 
-from .service import OperationsService, operations_application
+from .application import operations_application
+from .service import OperationsService
+from .status import DeploymentStatus, GroupState, RebalanceControl
 
-__all__ = ["OperationsService", "operations_application"]
+__all__ = [
+    "DeploymentStatus",
+    "GroupState",
+    "OperationsService",
+    "RebalanceControl",
+    "operations_application",
+]
--- /dev/null
+++ b/poplarward/operations/changes.py
@@ -0,0 +1,164 @@
+"""Writes operators' changes to the object API, with the versions they replace."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import trio
+
+from ..errors import ConflictError, NotFound, StoreUnavailable, WriteUnknown
+from ..state import (
+    STORE_KIND,
+    ObjectStore,
+    Resource,
+    StoredObject,
+    Writer,
+    object_name,
+    resource_of,
+)
+
+__all__ = ["ResourceChanges", "VersionConflict"]
+
+HISTORY_KEY = "history"
+MAX_HISTORY_VERSIONS = 5
+WRITE_TIMEOUT_MS = 8000.0
+DELETE_RETRY_PAUSE_S = 0.25
+MAX_SWITCH_ATTEMPTS = 5
+
+
+class VersionConflict(ConflictError):
+    """A change named a version that is not the current one.
+
+    Attributes
+    ----------
+    current : Resource, optional
+        The resource as it is; None if it does not exist.
+    """
+
+    def __init__(self, text: str, current: Resource | None):
+        super().__init__(text)
+        self.current = current
+
+
+class ResourceChanges:
+    """Changes resources, and keeps the versions that were replaced.
+
+    An object carries its last versions with it, so that they are written by the same
+    conditional update as the change.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform's object API.
+    writer : Writer
+        Makes the conditional writes.
+    """
+
+    def __init__(self, store: ObjectStore, writer: Writer):
+        self._store = store
+        self._writer = writer
+
+    async def put(
+        self, kind: str, name: str, spec: dict[str, Any], expected_version: int
+    ) -> Resource:
+        """Write a resource that has the expected version, 0 if it must be new.
+
+        Raises `VersionConflict`, `StoreUnavailable` or `WriteUnknown`.
+        """
+        found = await self._find(kind, name)
+        self._check_version(kind, name, found, expected_version)
+        history = [] if found is None else _history_with(found)
+        content = {**spec, HISTORY_KEY: history}
+        try:
+            stored = await self._writer.put(
+                STORE_KIND,
+                object_name(kind, name),
+                content,
+                expected_version,
+                WRITE_TIMEOUT_MS,
+            )
+        except ConflictError as error:
+            found = await self._find(kind, name)
+            raise _conflict(str(error), found) from error
+        return resource_of(stored)
+
+    async def delete(self, kind: str, name: str, expected_version: int) -> int:
+        """Delete a resource that has the expected version; returns a revision.
+
+        Every process that has this revision in force has deleted the resource.
+        """
+        maybe_sent = False
+        with trio.move_on_after(WRITE_TIMEOUT_MS / 1000):
+            while True:
+                try:
+                    found = await self._find(kind, name)
+                    if found is None and maybe_sent:
+                        return (await self._store.list(STORE_KIND))[0]
+                    if found is None:
+                        raise NotFound(f"{kind}/{name}")
+                    if maybe_sent and found.version != expected_version:
+                        # It was deleted and written anew, or changed just before.
+                        break
+                    self._check_version(kind, name, found, expected_version)
+                    maybe_sent = True
+                    return await self._store.delete(
+                        STORE_KIND, object_name(kind, name), expected_version
+                    )
+                except VersionConflict:
+                    raise
+                except (StoreUnavailable, ConflictError):
+                    # The answer may be lost, or speak of this very deletion.
+                    if not maybe_sent:
+                        raise
+                await trio.sleep(DELETE_RETRY_PAUSE_S)
+        raise WriteUnknown(f"deletion of {kind}/{name} at version {expected_version}")
+
+    async def switch(self, kind: str, name: str, spec: dict[str, Any] | None) -> int:
+        """Write a resource, or delete it, whatever its version; returns a revision."""
+        for _ in range(MAX_SWITCH_ATTEMPTS):
+            found = await self._find(kind, name)
+            version = 0 if found is None else found.version
+            held = None if found is None else resource_of(found).spec
+            if held == spec:
+                return version
+            try:
+                if spec is None:
+                    return await self.delete(kind, name, version)
+                return (await self.put(kind, name, spec, version)).version
+            except ConflictError:
+                continue
+        raise VersionConflict(f"{kind}/{name} changes all the time", None)
+
+    async def history(self, kind: str, name: str) -> list[Resource]:
+        """Return the versions that are kept, newest first; raises `NotFound`."""
+        found = await self._find(kind, name)
+        if found is None:
+            raise NotFound(f"{kind}/{name}")
+        earlier = found.spec.get(HISTORY_KEY, [])
+        kept = [Resource(kind, name, version, spec) for version, spec in earlier]
+        return [resource_of(found), *kept]
+
+    async def _find(self, kind: str, name: str) -> StoredObject | None:
+        try:
+            return await self._store.get(STORE_KIND, object_name(kind, name))
+        except NotFound:
+            return None
+
+    def _check_version(
+        self, kind: str, name: str, found: StoredObject | None, expected: int
+    ) -> None:
+        version = 0 if found is None else found.version
+        if version != expected:
+            text = f"{kind}/{name} has version {version}, not {expected}"
+            raise _conflict(text, found)
+
+
+def _conflict(text: str, found: StoredObject | None) -> VersionConflict:
+    return VersionConflict(text, None if found is None else resource_of(found))
+
+
+def _history_with(found: StoredObject) -> list[list[Any]]:
+    """Return the history that the next version carries, newest first."""
+    earlier = found.spec.get(HISTORY_KEY, [])
+    newest = [found.version, resource_of(found).spec]
+    return [newest, *earlier][:MAX_HISTORY_VERSIONS]
--- a/poplarward/operations/conversion.py
+++ b/poplarward/operations/conversion.py
@@ -10,7 +10,7 @@
 from ..protocol.generated.poplarward.v1 import operations_pb2 as pb
 from ..state import Resource
 
-__all__ = ["KIND_OF_FIELD", "message_of", "spec_of"]
+__all__ = ["KIND_OF_FIELD", "is_declared", "message_of", "spec_of"]
 
 KIND_OF_FIELD = {
     "model_group": "modelgroups",
@@ -36,6 +36,11 @@
     return KIND_OF_FIELD[field], spec
 
 
+def is_declared(resource: Resource) -> bool:
+    """Tell whether operators declare resources of this kind."""
+    return resource.kind in _FIELD_OF_KIND
+
+
 def message_of(resource: Resource) -> pb.Resource:
     """Return the message of a resource."""
     message = pb.Resource(
--- a/poplarward/operations/service.py
+++ b/poplarward/operations/service.py
@@ -2,36 +2,33 @@
 
 from __future__ import annotations
 
-import hmac
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from typing import Any
 
 import trio
 from connectrpc.code import Code
-from connectrpc.errors import ConnectError, ErrorDetail
-from protobuf.wkt import Any as AnyMessage
 
-from ..errors import ConflictError, FindingsError, NotFound, StoreUnavailable
+from ..errors import Finding, FindingsError, NotFound, RevisionTooOld
 from ..protocol.generated.poplarward.v1 import operations_pb2 as pb
-from ..protocol.generated.poplarward.v1.operations_connect import (
-    Operations,
-    OperationsASGIApplication,
-)
+from ..protocol.generated.poplarward.v1.operations_connect import Operations
 from ..state import (
+    DRAIN_KIND,
+    FREEZE_KIND,
     KINDS,
-    STORE_KIND,
     ConfigurationView,
     ObjectStore,
     Resource,
-    check_spec,
-    object_name,
-    resource_of,
+    Writer,
 )
-from .conversion import message_of, spec_of
+from .changes import ResourceChanges
+from .conversion import is_declared, message_of, spec_of
+from .differences import differences
+from .refusals import difference_messages, refusal, refusing
+from .status import RebalanceControl, StatusSource
+from .validation import check_deletion, check_resource
 
-__all__ = ["OperationsService", "operations_application"]
+__all__ = ["OperationsService"]
 
-WATCH_POLL_S = 0.2
 IN_FORCE_WAIT_S = 2.0
 
 
@@ -44,131 +41,184 @@
         Where accepted changes are written.
     view : ConfigurationView
         What this entry host has in force.
+    status : StatusSource
+        Knows the other processes.
+    rebalancing : RebalanceControl, optional
+        Starts moves of experts.
     """
 
-    def __init__(self, store: ObjectStore, view: ConfigurationView):
-        self._store = store
+    def __init__(
+        self,
+        store: ObjectStore,
+        view: ConfigurationView,
+        status: StatusSource,
+        rebalancing: RebalanceControl | None = None,
+    ):
+        self._changes = ResourceChanges(store, Writer(store))
         self._view = view
+        self._status = status
+        self._rebalancing = rebalancing
 
     async def apply(self, request: pb.ApplyRequest, ctx: Any) -> pb.ApplyResponse:
         """Validate a resource and write it with its expected version."""
-        name = request.resource.name
-        try:
+        name, expected = request.resource.name, request.expected_version
+        with refusing():
             kind, spec = spec_of(request.resource)
-            spec = check_spec(kind, name, spec)
-            if request.validate_only:
-                checked = Resource(kind, name, request.expected_version, spec)
-                return pb.ApplyResponse(resource=message_of(checked))
-            stored = await self._store.put(
-                STORE_KIND, object_name(kind, name), spec, request.expected_version
-            )
-        except FindingsError as error:
-            raise _refusal(Code.INVALID_ARGUMENT, error) from error
-        except ConflictError as error:
-            raise await self._conflict(kind, name, error) from error
-        except StoreUnavailable as error:
-            raise ConnectError(Code.UNAVAILABLE, str(error)) from error
-        resource = resource_of(stored)
-        with trio.move_on_after(IN_FORCE_WAIT_S):
-            await self._view.wait_beyond(resource.version - 1)
+            spec = check_resource(self._view, kind, name, spec)
+        proposed = Resource(kind, name, expected, spec)
+        if request.validate_only:
+            return pb.ApplyResponse(resource=message_of(proposed))
+        with refusing(proposed):
+            resource = await self._changes.put(kind, name, spec, expected)
+        await self._in_force_here(resource.version)
         return pb.ApplyResponse(resource=message_of(resource))
 
     async def delete(self, request: pb.DeleteRequest, ctx: Any) -> pb.DeleteResponse:
-        """Delete a resource that has the expected version."""
-        try:
-            revision = await self._store.delete(
-                STORE_KIND,
-                object_name(request.kind, request.name),
-                request.expected_version,
+        """Delete a resource that has the expected version and that none names."""
+        with refusing():
+            _check_kind(request.kind)
+            check_deletion(self._view, request.kind, request.name)
+            revision = await self._changes.delete(
+                request.kind, request.name, request.expected_version
             )
-        except ConflictError as error:
-            raise await self._conflict(request.kind, request.name, error) from error
-        except StoreUnavailable as error:
-            raise ConnectError(Code.UNAVAILABLE, str(error)) from error
+        await self._in_force_here(revision)
         return pb.DeleteResponse(revision=revision)
 
     async def get(self, request: pb.GetRequest, ctx: Any) -> pb.GetResponse:
         """Return a resource in force."""
-        spec = self._view.get(request.kind, request.name)
-        if spec is None:
-            raise ConnectError(Code.NOT_FOUND, f"{request.kind}/{request.name}")
+        with refusing():
+            _check_kind(request.kind)
+            spec = self._view.get(request.kind, request.name)
+            if spec is None:
+                raise NotFound(f"{request.kind}/{request.name}")
         version = self._view.version(request.kind, request.name)
         resource = Resource(request.kind, request.name, version, spec)
         return pb.GetResponse(resource=message_of(resource))
 
     async def list(self, request: pb.ListRequest, ctx: Any) -> pb.ListResponse:
         """Return all resources in force of a kind, or of every kind."""
+        if request.kind:
+            with refusing():
+                _check_kind(request.kind)
         kinds = [request.kind] if request.kind else list(KINDS)
         resources = [
             message_of(resource)
             for kind in kinds
-            for resource in self._view.all(kind)
-            if resource.spec is not None
+            for resource in sorted(self._view.all(kind), key=lambda r: r.name)
         ]
         return pb.ListResponse(revision=self._view.revision, resources=resources)
 
     async def watch(
         self, request: pb.WatchRequest, ctx: Any
     ) -> AsyncIterator[pb.WatchResponse]:
-        """Stream each change in force after a revision."""
-        sent = request.after_revision
+        """Stream each change in force after a revision; all resources after 0."""
+        position = request.after_revision
         while True:
-            changed = [r for r in self._view.all() if r.version > sent]
-            for resource in sorted(changed, key=lambda r: r.version):
-                sent = resource.version
-                yield pb.WatchResponse(resource=message_of(resource))
-            await trio.sleep(WATCH_POLL_S)
-
-    async def _conflict(
-        self, kind: str, name: str, error: ConflictError
-    ) -> ConnectError:
-        refusal = pb.Refusal()
-        try:
-            stored = await self._store.get(STORE_KIND, object_name(kind, name))
-            refusal.current.CopyFrom(message_of(resource_of(stored)))
-        except (NotFound, StoreUnavailable):
-            pass
-        return ConnectError(Code.ABORTED, str(error), [_detail(refusal)])
-
-
-def _refusal(code: Code, error: FindingsError) -> ConnectError:
-    findings = [
-        pb.Finding(place=f.place, found=f.found, allowed=f.allowed)
-        for f in error.findings
-    ]
-    return ConnectError(code, str(error), [_detail(pb.Refusal(findings=findings))])
-
-
-def _detail(message: Any) -> ErrorDetail:
-    url = "type.googleapis.com/" + message.DESCRIPTOR.full_name
-    return ErrorDetail(AnyMessage(type_url=url, value=message.SerializeToString()))
-
-
-def operations_application(
-    service: OperationsService, operator_tokens: Mapping[str, str]
-) -> Any:
-    """Return the ASGI application that serves operators.
-
-    Parameters
-    ----------
-    service : OperationsService
-        Implements the calls.
-    operator_tokens : mapping of str to str
-        Bearer tokens of the operators, by operator's name.
-    """
-    application = OperationsASGIApplication(service)
-
-    async def guarded(scope: dict[str, Any], receive: Any, send: Any) -> None:
-        if scope["type"] == "http" and not _is_operator(scope, operator_tokens):
-            await send({"type": "http.response.start", "status": 401, "headers": []})
-            await send({"type": "http.response.body", "body": b""})
-            return
-        await application(scope, receive, send)
-
-    return guarded
+            with refusing():
+                changes = self._changes_after(position)
+            for resource in changes:
+                if is_declared(resource):
+                    yield pb.WatchResponse(resource=message_of(resource))
+            position = max(position, self._view.revision)
+            await self._view.wait_beyond(position)
+
+    def _changes_after(self, revision: int) -> list[Resource]:
+        if revision == 0:
+            return sorted(self._view.all(), key=lambda resource: resource.version)
+        if revision >= self._view.revision:
+            return []
+        changes = self._view.changes_after(revision)
+        if changes is None:
+            raise RevisionTooOld(f"changes since {revision} are not kept")
+        return changes.resources
+
+    async def history(self, request: pb.HistoryRequest, ctx: Any) -> pb.HistoryResponse:
+        """Return the versions of a resource that are kept, newest first."""
+        with refusing():
+            _check_kind(request.kind)
+            versions = await self._changes.history(request.kind, request.name)
+        return pb.HistoryResponse(versions=[message_of(r) for r in versions])
+
+    async def diff(self, request: pb.DiffRequest, ctx: Any) -> pb.DiffResponse:
+        """Compare two kept versions of a resource."""
+        with refusing():
+            _check_kind(request.kind)
+            versions = await self._changes.history(request.kind, request.name)
+            specs = {resource.version: resource.spec for resource in versions}
+            kept = ", ".join(str(version) for version in specs)
+            findings = [
+                Finding(f"$.{field}", str(version), f"one of {kept}")
+                for field, version in (
+                    ("before_version", request.before_version),
+                    ("after_version", request.after_version),
+                )
+                if version not in specs
+            ]
+            if findings:
+                raise FindingsError(findings)
+        found = differences(specs[request.before_version], specs[request.after_version])
+        return pb.DiffResponse(differences=difference_messages(found))
+
+    async def get_rollout(
+        self, request: pb.GetRolloutRequest, ctx: Any
+    ) -> pb.GetRolloutResponse:
+        """Tell which live processes have a revision in force."""
+        rollout = await self._status.rollout(request.revision)
+        return pb.GetRolloutResponse(
+            n_live=rollout.n_live, n_in_force=rollout.n_in_force, behind=rollout.behind
+        )
+
+    async def get_status(
+        self, request: pb.GetStatusRequest, ctx: Any
+    ) -> pb.GetStatusResponse:
+        """Tell the state of hosts, leases, model groups and their expert maps."""
+        return await self._status.status()
+
+    async def drain_host(
+        self, request: pb.DrainHostRequest, ctx: Any
+    ) -> pb.DrainHostResponse:
+        """Stop sending new work to a host, or take it back in."""
+        with refusing():
+            if request.drain and not self._status.knows_host(request.host):
+                raise NotFound(f"host {request.host}")
+            spec = {"drain": True} if request.drain else None
+            revision = await self._changes.switch(DRAIN_KIND, request.host, spec)
+        await self._in_force_here(revision)
+        return pb.DrainHostResponse(revision=revision)
+
+    async def freeze_rebalancing(
+        self, request: pb.FreezeRebalancingRequest, ctx: Any
+    ) -> pb.FreezeRebalancingResponse:
+        """Stop or allow the automatic moves of a group's experts."""
+        with refusing():
+            self._check_group(request.group)
+            spec = {"frozen": True} if request.frozen else None
+            revision = await self._changes.switch(FREEZE_KIND, request.group, spec)
+        await self._in_force_here(revision)
+        return pb.FreezeRebalancingResponse(revision=revision)
+
+    async def force_rebalance(
+        self, request: pb.ForceRebalanceRequest, ctx: Any
+    ) -> pb.ForceRebalanceResponse:
+        """Plan and start a move of a group's experts now."""
+        with refusing():
+            self._check_group(request.group)
+            if self._rebalancing is None:
+                finding = Finding("$", "no rebalancing here", "another entry host")
+                raise refusal(Code.FAILED_PRECONDITION, finding.found, [finding])
+            version, n_moved = await self._rebalancing.force(request.group)
+        return pb.ForceRebalanceResponse(map_version=version, n_experts_moved=n_moved)
+
+    def _check_group(self, name: str) -> None:
+        if self._view.get("modelgroups", name) is None:
+            raise NotFound(f"modelgroups/{name}")
+
+    async def _in_force_here(self, revision: int) -> None:
+        """Wait a moment, so that the operator's next call sees the change."""
+        with trio.move_on_after(IN_FORCE_WAIT_S):
+            await self._view.wait_beyond(revision - 1)
 
 
-def _is_operator(scope: dict[str, Any], tokens: Mapping[str, str]) -> bool:
-    headers = dict(scope["headers"])
-    given = headers.get(b"authorization", b"").removeprefix(b"Bearer ")
-    return any(hmac.compare_digest(given, t.encode()) for t in tokens.values())
+def _check_kind(kind: str) -> None:
+    if kind not in KINDS:
+        raise FindingsError([Finding("$.kind", repr(kind)[:80], ", ".join(KINDS))])
--- /dev/null
+++ b/poplarward/operations/status.py
@@ -0,0 +1,153 @@
+"""Collects what operators ask of the deployment as a whole."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, Protocol
+
+from ..coordination import ConfigurationSync, HostList, ListedMembers
+from ..coordination.configuration import Rollout, gather_revisions, gather_rollout
+from ..protocol import Peers
+from ..protocol.generated.poplarward.v1 import operations_pb2 as pb
+from ..state import DRAIN_KIND, FREEZE_KIND, ConfigurationView
+
+__all__ = ["DeploymentStatus", "GroupState", "RebalanceControl", "StatusSource"]
+
+
+class GroupState(NamedTuple):
+    """The expert map of a model group and how even its ranks are.
+
+    Attributes
+    ----------
+    preparing_version : int
+        Map version that is being prepared, 0 if none.
+    skew : float
+        Greatest rank's work over the mean.
+    """
+
+    name: str
+    map_version: int
+    preparing_version: int
+    skew: float
+    n_experts_moved: int
+
+
+class RebalanceControl(Protocol):
+    """Moves the experts of model groups; a part of the process offers it."""
+
+    def groups(self) -> Sequence[GroupState]:
+        """Return the state of the groups that are known here."""
+        ...
+
+    async def force(self, group: str) -> tuple[int, int]:
+        """Plan and start a move; returns map version and number of experts moved.
+
+        Raises `NotFound` for an unknown group, `FindingsError` if it can't be now.
+        """
+        ...
+
+
+class StatusSource(Protocol):
+    """Where the operators' calls learn of the deployment."""
+
+    async def rollout(self, revision: int) -> Rollout:
+        """Return how far a revision has come."""
+        ...
+
+    async def status(self) -> pb.GetStatusResponse:
+        """Return the state of hosts, leases and groups."""
+        ...
+
+    def knows_host(self, name: str) -> bool:
+        """Tell whether a host is on the platform's list."""
+        ...
+
+
+class DeploymentStatus:
+    """The deployment as an entry host knows it; satisfies `StatusSource`.
+
+    Parameters
+    ----------
+    peers : Peers
+        Asks the other processes.
+    configuration : ConfigurationSync
+        Knows what is in force below this process.
+    view : ConfigurationView
+        What is in force here.
+    hosts : HostList
+        The platform's list of hosts.
+    leases : callable
+        Returns name, holder and fencing number of the leases known here.
+    rebalancing : RebalanceControl, optional
+        Knows the model groups.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        configuration: ConfigurationSync,
+        view: ConfigurationView,
+        hosts: HostList,
+        leases: Callable[[], Sequence[tuple[str, str, int]]] = tuple,
+        rebalancing: RebalanceControl | None = None,
+    ):
+        self._peers = peers
+        self._configuration = configuration
+        self._view = view
+        self._hosts = hosts
+        self._members = ListedMembers(hosts)
+        self._leases = leases
+        self._rebalancing = rebalancing
+
+    def knows_host(self, name: str) -> bool:
+        """Tell whether a host is on the platform's list."""
+        return name in self._hosts.hosts
+
+    async def rollout(self, revision: int) -> Rollout:
+        """Return how far a revision has come."""
+        return await gather_rollout(
+            self._peers, self._configuration.publisher, self._members, revision
+        )
+
+    async def status(self) -> pb.GetStatusResponse:
+        """Return the state of hosts, leases and groups."""
+        revisions = await gather_revisions(
+            self._peers, self._configuration.publisher, self._members
+        )
+        return pb.GetStatusResponse(
+            revision_in_force=self._view.revision,
+            store_reachable=self._configuration.is_store_reachable,
+            hosts=self._host_messages(revisions),
+            leases=[
+                pb.LeaseStatus(name=name, holder=holder, fencing_number=number)
+                for name, holder, number in self._leases()
+            ],
+            groups=self._group_messages(),
+        )
+
+    def _host_messages(self, revisions: dict[str, int]) -> list[pb.HostStatus]:
+        return [
+            pb.HostStatus(
+                name=host.name,
+                role=host.role,
+                data_centre=host.data_centre,
+                state=host.state,
+                revision_in_force=revisions.get(host.name, 0),
+                draining=self._view.get(DRAIN_KIND, host.name) is not None,
+            )
+            for host in sorted(self._hosts.hosts.values())
+        ]
+
+    def _group_messages(self) -> list[pb.GroupStatus]:
+        groups = self._rebalancing.groups() if self._rebalancing else ()
+        return [
+            pb.GroupStatus(
+                name=group.name,
+                map_version=group.map_version,
+                preparing_version=group.preparing_version,
+                frozen=self._view.get(FREEZE_KIND, group.name) is not None,
+                skew=group.skew,
+                n_experts_moved=group.n_experts_moved,
+            )
+            for group in groups
+        ]
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -23,7 +23,11 @@
 
 from ..coordination import ConfigurationSync, HostList, ListedMembers
 from ..errors import PeerUnreachable
-from ..operations import OperationsService, operations_application
+from ..operations import (
+    DeploymentStatus,
+    OperationsService,
+    operations_application,
+)
 from ..protocol import Peers, ProcessIdentity
 from ..protocol.identity import new_start_id
 from ..requests import (
@@ -78,7 +82,8 @@
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
-    operations = OperationsService(store, view)
+    status = DeploymentStatus(peers, configuration, view, hosts)
+    operations = OperationsService(store, view, status)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
--- a/poplarward/state/__init__.py
+++ b/poplarward/state/__init__.py
@@ -9,6 +9,8 @@
 
 from .budget import Backoff, RetryBudget
 from .resources import (
+    DRAIN_KIND,
+    FREEZE_KIND,
     KINDS,
     STORE_KIND,
     CallSpec,
@@ -32,6 +34,8 @@
 from .writer import Writer
 
 __all__ = [
+    "DRAIN_KIND",
+    "FREEZE_KIND",
     "Backoff",
     "KINDS",
     "STORE_KIND",
--- a/poplarward/state/resources.py
+++ b/poplarward/state/resources.py
@@ -12,6 +12,8 @@
 
 __all__ = [
     "BOOKKEEPING_KEYS",
+    "DRAIN_KIND",
+    "FREEZE_KIND",
     "KINDS",
     "STORE_KIND",
     "CallSpec",
@@ -95,6 +97,10 @@
 
 KINDS: tuple[str, ...] = tuple(_SPECS)
 
+# Kinds that operators change through calls of their own.
+DRAIN_KIND = "hostdrains"
+FREEZE_KIND = "rebalancingfreezes"
+
 # All resources share one kind of the store, so that one watch follows them in order.
 STORE_KIND = "configuration"
 BOOKKEEPING_KEYS = frozenset({"operations", "history"})
