--- a/poplarward/coordination/__init__.py
+++ b/poplarward/coordination/__init__.py
@@ -1,18 +1,18 @@
 """Lets the processes of a deployment act together.
 
-`HostList` follows the platform's list of hosts. `ConfigurationFollower` keeps the
+`HostList` follows the platform's list of hosts. `ConfigurationSync` keeps the
 configuration in force up to date. `ControlRoles` says which control roles this host
 holds, by leases; a `FenceGuard` refuses the orders of a former holder.
 """
 
-from .configuration import ConfigurationFollower
+from .configuration import ConfigurationSync, ListedMembers
 from .fencing import FenceGuard, FenceKeeper
 from .hosts import HostEntry, HostList
 from .leases import Lease, LeaseTiming
 from .roles import ControlRoles
 
 __all__ = [
-    "ConfigurationFollower",
+    "ConfigurationSync",
     "ControlRoles",
     "FenceGuard",
     "FenceKeeper",
@@ -20,4 +20,5 @@
     "HostList",
     "Lease",
     "LeaseTiming",
+    "ListedMembers",
 ]
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -22,6 +22,7 @@
     "PeerUnreachable",
     "PoplarwardError",
     "Refused",
+    "RevisionTooOld",
     "StaleFence",
     "StoreUnavailable",
     "UpstreamUnreachable",
@@ -57,6 +58,10 @@
     """A peer did not answer a call in time."""
 
 
+class RevisionTooOld(PoplarwardError):
+    """The changes since a revision are not kept any more; list and start anew."""
+
+
 class StaleFence(PoplarwardError):
     """An order was refused because a newer holder of the lease may have given one."""
 
