Change the expert map of a group in one step for all its ranks

Cause: nothing changes a group's map. Orders sent rank by rank would mix two maps in a step as soon as one of them is late, lost or refused.

In short: a decision only a coordinator can make (ranks stay blocked until its lease is taken over), holding all ranks in every change, offers in every barrier, weights and hold in one phase.

The change: weights are staged first; then each host votes by a hold in its engine, and the decision follows from the votes, which are final. Agents, coordinator, fence memory, store record, HTTP client of the engine, and a stand-in rank group whose own record is the judge.

--- a/benchmarks/rebalance_policies.py
+++ b/benchmarks/rebalance_policies.py
@@ -131,16 +131,21 @@
     """Deal out replicas by load, then put the largest on the least busy rank."""
     heap = [(-load, 1, expert) for expert, load in enumerate(loads)]
     heapq.heapify(heap)
+    everywhere = []
     for _ in range(n_ranks * n_slots - len(loads)):
-        # The first place whose expert may still have another replica.
         unit, n_replicas, expert = heap[0]
         load = -unit * n_replicas
         n_replicas += 1
-        heapq.heapreplace(heap, (-load / n_replicas, n_replicas, expert))
+        item = (-load / n_replicas, n_replicas, expert)
+        if n_replicas == n_ranks:
+            heapq.heappop(heap)
+            everywhere.append(item)
+        else:
+            heapq.heapreplace(heap, item)
     rows: list[list[int]] = [[] for _ in range(n_ranks)]
     ranks = [(0.0, rank) for rank in range(n_ranks)]
     heapq.heapify(ranks)
-    for unit, n_replicas, expert in sorted(heap):
+    for unit, n_replicas, expert in sorted(heap + everywhere):
         for _ in range(n_replicas):
             _put(rows, ranks, expert, -unit, n_slots)
     return rows
--- /dev/null
+++ b/poplarward/coordination/expert_maps/__init__.py
@@ -0,0 +1,29 @@
+"""Changes the expert map of a model group in one step for all its ranks.
+
+`MapCoordinator` runs on the entry host that holds the group's lease, `MapKeeper` in
+the agent of each host of the group. An attempt at a change is decided by the hosts'
+votes alone, so that any process that can read the votes can finish it.
+"""
+
+from .coordinator import ChangeOutcome, ChangeResult, GroupHost, MapCoordinator
+from .engine import EngineControl, EngineStatus, Hold
+from .fences import FenceMemory
+from .http_engine import HttpEngineControl
+from .keeper import MapKeeper
+from .record import MapRecord
+from .votes import decide
+
+__all__ = [
+    "ChangeOutcome",
+    "ChangeResult",
+    "EngineControl",
+    "EngineStatus",
+    "FenceMemory",
+    "GroupHost",
+    "Hold",
+    "HttpEngineControl",
+    "MapCoordinator",
+    "MapKeeper",
+    "MapRecord",
+    "decide",
+]
--- /dev/null
+++ b/poplarward/coordination/expert_maps/coordinator.py
@@ -0,0 +1,303 @@
+"""Leads a group through a change of its expert map.
+
+The weights are staged on every host first, which holds back no step. Then the hosts
+are asked for their votes on switching at a step a little ahead. From there on the
+votes decide, and the coordinator is only the fastest to collect them.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+import trio
+
+from ...errors import PeerTimeout, PeerUnreachable, StoreUnavailable
+from ...protocol import Peers
+from ...protocol.expert_maps import (
+    Decision,
+    GetHostState,
+    GetMap,
+    HostState,
+    MapContents,
+    MapId,
+    Member,
+    PrepareMap,
+    SlotChange,
+    Staged,
+    StageMap,
+    Vote,
+    VoteReply,
+)
+from ...protocol.peers import CallRefused
+from ...telemetry import get_logger
+from ...transport import Address
+from ..rebalancing import Move, apply_moves
+from .record import MapRecord, RecordedMap
+from .votes import announce, ask_votes, decide
+
+__all__ = ["ChangeOutcome", "ChangeResult", "GroupHost", "MapCoordinator"]
+
+STATE_TIMEOUT_MS = 1000.0
+STAGE_TIMEOUT_MS = 60_000.0
+PREPARE_TIMEOUT_MS = 1000.0
+SETTLE_PAUSE_S = 0.2
+LEAD_STEPS = 8
+
+log = get_logger("maps")
+
+
+class GroupHost(NamedTuple):
+    """A host of the group, as membership knows it."""
+
+    name: str
+    address: Address
+
+
+class ChangeOutcome(StrEnum):
+    """How an attempt at a change ended."""
+
+    COMMITTED = "committed"
+    ABORTED = "aborted"
+    NOT_STARTED = "not-started"
+    UNSETTLED = "unsettled"
+
+
+_OUTCOMES = {
+    Decision.COMMIT: ChangeOutcome.COMMITTED,
+    Decision.ABORT: ChangeOutcome.ABORTED,
+}
+
+
+class ChangeResult(NamedTuple):
+    """Outcome of an attempt, with its reason if it was not committed."""
+
+    outcome: ChangeOutcome
+    map_id: MapId | None = None
+    reason: str = ""
+
+
+class MapCoordinator:
+    """Changes the map of one group while its fence is held.
+
+    Parameters
+    ----------
+    peers : Peers
+        Links to the hosts of the group.
+    group : str
+        Name of the model group.
+    fence : callable
+        The fencing number while the group's lease is surely held, otherwise None.
+    hosts : callable
+        All hosts of the group.
+    record : MapRecord
+        Where maps in force are recorded.
+
+    Attributes
+    ----------
+    current : RecordedMap or None
+        The map in force, once `load` has read it.
+    preparing : MapId or None
+        Attempt in progress.
+    lead_steps : int
+        Steps between the question for votes and the switch.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        group: str,
+        fence: Callable[[], int | None],
+        hosts: Callable[[], Sequence[GroupHost]],
+        record: MapRecord,
+        lead_steps: int = LEAD_STEPS,
+    ):
+        self.current: RecordedMap | None = None
+        self.preparing: MapId | None = None
+        self.lead_steps = lead_steps
+        self._peers = peers
+        self._group = group
+        self._fence = fence
+        self._hosts = hosts
+        self._record = record
+        self._attempts = itertools.count(1)
+        self._is_recorded = False
+
+    async def load(self) -> bool:
+        """Settle what earlier coordinators left and read the map in force.
+
+        Returns False while a host does not answer, or an attempt can't be settled.
+        """
+        states = await self._settled_states()
+        if states is None:
+            return False
+        active = states[0].active
+        if self.current is None or self.current.map_id != active:
+            self.current = await self._read_map(active)
+            self._is_recorded = False
+        return self.current is not None
+
+    async def change(self, moves: Sequence[Move], transfers: Any) -> ChangeResult:
+        """Put the map after some moves in force on every host.
+
+        Parameters
+        ----------
+        moves : sequence of Move
+            Slots that hold another expert.
+        transfers : sequence of Transfer
+            The same moves, with the rank each takes its weights from.
+        """
+        fence = self._fence()
+        if fence is None:
+            return _not_started("the lease is not held")
+        if not await self.load() or self.current is None:
+            return _not_started("the state of the group is not known")
+        if not await self._ensure_recorded():
+            return _not_started("the map in force is not recorded in the store")
+        base = self.current.map_id
+        map_id = MapId(base.version + 1, fence, next(self._attempts))
+        self.preparing = map_id
+        try:
+            changes = [_slot_change(transfer) for transfer in transfers]
+            reason = await self._stage(map_id, base, changes)
+            if reason is not None:
+                return ChangeResult(ChangeOutcome.ABORTED, map_id, reason)
+            result = await self._vote(map_id, base)
+        finally:
+            self.preparing = None
+        if result.outcome is ChangeOutcome.COMMITTED:
+            layers = apply_moves(self.current.layers, moves)
+            self.current = RecordedMap(map_id, layers)
+            self._is_recorded = False
+            await self._ensure_recorded()
+        return result
+
+    async def _stage(
+        self, map_id: MapId, base: MapId, changes: list[SlotChange]
+    ) -> str | None:
+        """Get the weights in place on every host; returns why that failed."""
+        request = StageMap(self._group, map_id, base, changes)
+        replies = await self._call_all(request, STAGE_TIMEOUT_MS)
+        for host, reply in replies.items():
+            if not isinstance(reply, Staged) or not reply.is_staged:
+                reason = getattr(reply, "reason", "no answer")
+                return f"{host.name}: {reason}"
+        return None
+
+    async def _vote(self, map_id: MapId, base: MapId) -> ChangeResult:
+        """Ask for votes, and settle the attempt by them."""
+        states = await self._states(map_id.fence)
+        if states is None or self._fence() != map_id.fence:
+            return ChangeResult(ChangeOutcome.ABORTED, map_id, "a host is away")
+        members = [
+            Member(host.name, state.start_id, str(host.address))
+            for host, state in states.items()
+        ]
+        step = max(state.step for state in states.values()) + self.lead_steps
+        request = PrepareMap(self._group, map_id, base, step, members)
+        replies = await self._call_all(request, PREPARE_TIMEOUT_MS)
+        votes = [_vote_of(reply) for reply in replies.values()]
+        reasons = [reply.reason for reply in replies.values() if _is_no(reply)]
+        decision = decide(votes)
+        while decision is None and self._fence() == map_id.fence:
+            votes = await ask_votes(self._peers, self._group, map_id, members)
+            decision = decide(votes)
+            if decision is None:
+                await trio.sleep(SETTLE_PAUSE_S)
+        if decision is None:
+            reason = "the lease was lost; the hosts settle it"
+            return ChangeResult(ChangeOutcome.UNSETTLED, map_id, reason)
+        await announce(self._peers, self._group, map_id, decision, members)
+        outcome = _OUTCOMES[decision]
+        log.info("map.settled", group=self._group, version=map_id.version, at=outcome)
+        return ChangeResult(outcome, map_id, "; ".join(reasons))
+
+    async def _settled_states(self) -> list[HostState] | None:
+        """Return the states of all hosts, or None unless all use the same map."""
+        fence = self._fence()
+        states = None if fence is None else await self._states(fence)
+        if states is None:
+            return None
+        for state in states.values():
+            if state.undecided is not None:
+                await self._settle(state.undecided, state.members)
+                return None
+        is_settled = all(state.pending is None for state in states.values())
+        is_same = len({state.active for state in states.values()}) == 1
+        return list(states.values()) if is_settled and is_same else None
+
+    async def _settle(self, map_id: MapId, members: Sequence[Member]) -> None:
+        """Tell the hosts the decision of an attempt, if their votes give one."""
+        decision = decide(await ask_votes(self._peers, self._group, map_id, members))
+        if decision is not None:
+            await announce(self._peers, self._group, map_id, decision, members)
+
+    async def _states(self, fence: int) -> dict[GroupHost, HostState] | None:
+        """Return the states of the hosts, None unless all answer."""
+        request = GetHostState(self._group, fence)
+        replies = await self._call_all(request, STATE_TIMEOUT_MS)
+        is_complete = all(isinstance(reply, HostState) for reply in replies.values())
+        return replies if replies and is_complete else None
+
+    async def _read_map(self, active: MapId) -> RecordedMap | None:
+        try:
+            recorded = await self._record.read()
+        except StoreUnavailable as error:
+            log.info("map.store_unavailable", reason=str(error))
+            recorded = None
+        if recorded is not None and recorded.map_id == active:
+            return recorded
+        for host in self._hosts():
+            reply = await self._call(host, GetMap(self._group), STATE_TIMEOUT_MS)
+            if isinstance(reply, MapContents) and reply.map_id == active:
+                layers = tuple(tuple(map(tuple, layer)) for layer in reply.layers)
+                return RecordedMap(active, layers)
+        return None
+
+    async def _ensure_recorded(self) -> bool:
+        """Record the map in force; returns whether the store surely holds it."""
+        if self.current is not None and not self._is_recorded:
+            try:
+                await self._record.write(self.current)
+                self._is_recorded = True
+            except StoreUnavailable as error:
+                log.info("map.not_recorded", group=self._group, reason=str(error))
+        return self._is_recorded
+
+    async def _call_all(self, request: Any, timeout_ms: float) -> dict[GroupHost, Any]:
+        """Call every host; None stands for no answer."""
+        replies: dict[GroupHost, Any] = dict.fromkeys(self._hosts())
+
+        async def call(host: GroupHost) -> None:
+            replies[host] = await self._call(host, request, timeout_ms)
+
+        async with trio.open_nursery() as nursery:
+            for host in replies:
+                nursery.start_soon(call, host)
+        return replies
+
+    async def _call(self, host: GroupHost, request: Any, timeout_ms: float) -> Any:
+        try:
+            return await self._peers.call(host.address, request, timeout_ms)
+        except (PeerUnreachable, PeerTimeout, CallRefused) as error:
+            log.info("map.no_answer", host=host.name, reason=str(error))
+            return None
+
+
+def _not_started(reason: str) -> ChangeResult:
+    return ChangeResult(ChangeOutcome.NOT_STARTED, None, reason)
+
+
+def _vote_of(reply: Any) -> Vote:
+    return reply.vote if isinstance(reply, VoteReply) else Vote.UNKNOWN
+
+
+def _is_no(reply: Any) -> bool:
+    return isinstance(reply, VoteReply) and reply.vote is Vote.NO
+
+
+def _slot_change(transfer: Any) -> SlotChange:
+    source = -1 if transfer.source_rank is None else transfer.source_rank
+    return SlotChange(*transfer.move, source)
--- /dev/null
+++ b/poplarward/coordination/expert_maps/votes.py
@@ -0,0 +1,103 @@
+"""Collects the votes on an attempt and tells its decision.
+
+A vote of `Vote.READY` or `Vote.NO` is final, and the decision is a function of the
+votes. Whoever collects them comes to the same decision, whether it is the
+coordinator, another coordinator after it, or a host that waits at the step.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import trio
+
+from ...errors import PeerTimeout, PeerUnreachable
+from ...protocol import Peers
+from ...protocol.expert_maps import (
+    AskVote,
+    Decided,
+    Decision,
+    MapId,
+    Member,
+    Vote,
+    VoteReply,
+)
+from ...protocol.peers import CallRefused
+from ...transport import Address
+
+__all__ = ["announce", "ask_votes", "decide"]
+
+VOTE_TIMEOUT_MS = 500.0
+
+
+def decide(votes: Iterable[Vote]) -> Decision | None:
+    """Return the decision that follows from the members' votes, None if none does.
+
+    Examples
+    --------
+    >>> decide([Vote.READY, Vote.READY])
+    <Decision.COMMIT: 'commit'>
+    >>> decide([Vote.READY, Vote.UNKNOWN, Vote.NO])
+    <Decision.ABORT: 'abort'>
+    >>> decide([Vote.READY, Vote.UNKNOWN]) is None
+    True
+    """
+    given = set(votes)
+    if Vote.COMMITTED in given:
+        return Decision.COMMIT
+    if Vote.NO in given:
+        return Decision.ABORT
+    return Decision.COMMIT if given == {Vote.READY} else None
+
+
+async def ask_votes(
+    peers: Peers, group: str, map_id: MapId, members: Sequence[Member]
+) -> list[Vote]:
+    """Ask every member for its vote; `Vote.UNKNOWN` stands for no answer."""
+    votes = [Vote.UNKNOWN] * len(members)
+
+    async def ask(index: int) -> None:
+        votes[index] = await _ask(peers, AskVote(group, map_id), members[index])
+
+    async with trio.open_nursery() as nursery:
+        for index in range(len(members)):
+            nursery.start_soon(ask, index)
+    return votes
+
+
+async def _ask(peers: Peers, question: AskVote, member: Member) -> Vote:
+    with trio.move_on_after(VOTE_TIMEOUT_MS / 1000):
+        try:
+            connection = await peers.connection(Address.parse(member.peers_address))
+            if connection.identity.name != member.name:
+                # Another host has taken over the address.
+                return Vote.UNKNOWN
+            reply = await connection.call(question, VOTE_TIMEOUT_MS)
+        except (PeerUnreachable, PeerTimeout, CallRefused):
+            return Vote.UNKNOWN
+        if isinstance(reply, VoteReply) and reply.map_id == question.map_id:
+            return reply.vote
+    return Vote.UNKNOWN
+
+
+async def announce(
+    peers: Peers,
+    group: str,
+    map_id: MapId,
+    decision: Decision,
+    members: Sequence[Member],
+) -> None:
+    """Tell every member that can be reached the decision."""
+
+    async def tell(member: Member) -> None:
+        with trio.move_on_after(VOTE_TIMEOUT_MS / 1000):
+            try:
+                address = Address.parse(member.peers_address)
+                await peers.notify(address, Decided(group, map_id, decision))
+            except PeerUnreachable:
+                # The member asks for the votes itself.
+                pass
+
+    async with trio.open_nursery() as nursery:
+        for member in members:
+            nursery.start_soon(tell, member)
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -15,6 +15,8 @@
     "ChannelClosed",
     "ConflictError",
     "DecodeError",
+    "EngineRefused",
+    "EngineUnreachable",
     "Finding",
     "FindingsError",
     "NotFound",
@@ -24,6 +26,7 @@
     "Refused",
     "StoreUnavailable",
     "UpstreamUnreachable",
+    "WeightsUnavailable",
 ]
 
 
@@ -47,6 +50,14 @@
     """Bytes received from another process do not form a known message."""
 
 
+class EngineRefused(PoplarwardError):
+    """An engine refused an order, and has not carried it out."""
+
+
+class EngineUnreachable(PoplarwardError):
+    """An engine gave no usable answer; it may have carried out the order."""
+
+
 class PeerUnreachable(PoplarwardError):
     """No connection to a peer could be opened, or it was lost."""
 
@@ -95,6 +106,10 @@
         self.sent = sent
 
 
+class WeightsUnavailable(PoplarwardError):
+    """Weights could not be read from a peer rank or the weight store."""
+
+
 class Finding(NamedTuple):
     """One thing found wrong in an input, with its place.
 
--- /dev/null
+++ b/poplarward/standins/rank_group.py
@@ -0,0 +1,215 @@
+"""Stand-in of a rank group that advances in lock-step on an expert map.
+
+Its own record of which map each rank used in each step is the judge of a change.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import trio
+
+from ..coordination.expert_maps import EngineStatus, Hold
+from ..errors import EngineRefused, EngineUnreachable, WeightsUnavailable
+from ..protocol.expert_maps import MapId, SlotChange
+
+__all__ = ["FIRST_MAP", "HostEngine", "RankGroupStandin"]
+
+FIRST_MAP = MapId(1, 0, 0)
+ORDER_MS = 1.0
+
+
+class HostEngine:
+    """The ranks of one host; satisfies `EngineControl`.
+
+    Attributes
+    ----------
+    checks_fence : bool
+        Whether orders with an old fencing number are refused.
+    is_stalled, is_unreachable, loses_answers, fails_weights : bool
+        What goes wrong: its ranks begin no step, orders fail, orders are carried out
+        but not answered, weights can't be read.
+    load_ms : float
+        Time to read the weights of one slot.
+    """
+
+    def __init__(self, group: RankGroupStandin, checks_fence: bool):
+        self.checks_fence = checks_fence
+        self.is_stalled = False
+        self.is_unreachable = False
+        self.loses_answers = False
+        self.fails_weights = False
+        self.load_ms = 5.0
+        self.step = 0
+        self.active = FIRST_MAP
+        self.hold_in_place: Hold | None = None
+        self.n_orders = 0
+        self._group = group
+        self._pending: Hold | None = None
+        self._staged: tuple[MapId, list[SlotChange]] | None = None
+        self._fence = 0
+        self._changed = trio.Event()
+
+    async def status(self) -> EngineStatus:
+        """Return where the host's ranks are."""
+        await self._begin_order()
+        pending = None if self._pending is None else self._pending.map_id
+        status = EngineStatus(self.step, self.active, pending, self.hold_in_place)
+        await self._answer()
+        return status
+
+    async def layers(self) -> list[list[list[int]]]:
+        """Return the experts of the map in use, by layer, rank and slot."""
+        await self._begin_order()
+        return [[list(row) for row in layer] for layer in self._group.maps[self.active]]
+
+    async def stage(
+        self, fence: int, map_id: MapId, changes: Sequence[SlotChange]
+    ) -> None:
+        """Read the weights of a map into spare memory."""
+        await self._begin_order(fence)
+        await trio.sleep(self.load_ms * len(changes) / 1000)
+        if self.fails_weights:
+            raise WeightsUnavailable("the weight store does not answer")
+        if self.hold_in_place is not None:
+            raise EngineRefused(f"held for {self.hold_in_place.map_id}")
+        self._staged = (map_id, list(changes))
+        await self._answer()
+
+    async def hold(self, fence: int, map_id: MapId, step: int, note: str) -> None:
+        """Let no rank begin a step from ``step`` on, until the release."""
+        await self._begin_order(fence)
+        held = self.hold_in_place
+        if held is None or held.map_id != map_id:
+            if held is not None:
+                raise EngineRefused(f"held for {held.map_id}")
+            if self._staged is None or self._staged[0] != map_id:
+                raise EngineRefused("the map is not staged")
+            if step <= self.step:
+                raise EngineRefused(f"step {step} has begun")
+            self.hold_in_place = Hold(map_id, step, note)
+        await self._answer()
+
+    async def release(self, fence: int, map_id: MapId, switch: bool) -> None:
+        """End the hold of a map; with ``switch`` its step is the first to use it."""
+        await self._begin_order(fence)
+        if self._staged is not None and self._staged[0] == map_id:
+            if switch and self.hold_in_place is not None:
+                self._group.add_map(self.active, map_id, self._staged[1])
+                self._pending = self.hold_in_place
+            self._staged = None
+        if self.hold_in_place is not None and self.hold_in_place.map_id == map_id:
+            self.hold_in_place = None
+        self.wake()
+        await self._answer()
+
+    @property
+    def is_staged(self) -> bool:
+        """Whether the weights of a map are in spare memory."""
+        return self._staged is not None
+
+    def switch_at(self, map_id: MapId, step: int) -> None:
+        """Use a staged map from a step on, without an order of an agent."""
+        if self._staged is not None and self._staged[0] == map_id:
+            self._group.add_map(self.active, map_id, self._staged[1])
+            self._pending = Hold(map_id, step, "")
+            self._staged = None
+
+    def wake(self) -> None:
+        """Let the ranks see a change of what holds them."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def begin_step(self) -> None:
+        """Begin the next step once nothing holds the ranks back."""
+        step = self.step + 1
+        while self.is_stalled or (
+            self.hold_in_place is not None and step >= self.hold_in_place.step
+        ):
+            await self._changed.wait()
+        self.step = step
+        if self._pending is not None and step >= self._pending.step:
+            self.active = self._pending.map_id
+            self._pending = None
+
+    async def _begin_order(self, fence: int | None = None) -> None:
+        await trio.sleep(ORDER_MS / 1000)
+        if self.is_unreachable:
+            raise EngineUnreachable("no answer")
+        self.n_orders += 1
+        if fence is not None and self.checks_fence:
+            if fence < self._fence:
+                raise EngineRefused(f"fencing number {fence} is old")
+            self._fence = fence
+
+    async def _answer(self) -> None:
+        await trio.sleep(ORDER_MS / 1000)
+        if self.loses_answers or self.is_unreachable:
+            raise EngineUnreachable("the answer was lost")
+
+
+class RankGroupStandin:
+    """Hosts whose ranks wait for each other in every step.
+
+    Attributes
+    ----------
+    maps_by_step : dict
+        The judge's record: hosts by map, for each step.
+    step_ends : list of float
+        Time at which each step ended.
+    maps : dict
+        Layers of every map that was in use.
+    """
+
+    def __init__(
+        self,
+        n_hosts: int,
+        layers: Sequence[Sequence[Sequence[int]]],
+        step_ms: float = 20.0,
+        checks_fence: bool = True,
+    ):
+        self.engines = [HostEngine(self, checks_fence) for _ in range(n_hosts)]
+        self.maps_by_step: dict[int, dict[MapId, list[int]]] = {}
+        self.step_ends: list[float] = []
+        self.maps = {FIRST_MAP: [[list(row) for row in layer] for layer in layers]}
+        self._step_s = step_ms / 1000
+        self._n_arrived = 0
+        self._ended = trio.Event()
+
+    def mixed_steps(self) -> list[int]:
+        """Return the steps in which not all hosts used the same map."""
+        return [step for step, maps in self.maps_by_step.items() if len(maps) > 1]
+
+    def add_map(self, base: MapId, map_id: MapId, changes: list[SlotChange]) -> None:
+        """Note the layers of a map that comes into use."""
+        layers = [[list(row) for row in layer] for layer in self.maps[base]]
+        for change in changes:
+            layers[change.layer][change.rank][change.slot] = change.expert
+        self.maps[map_id] = layers
+
+    async def run(self) -> None:
+        """Step until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for index in range(len(self.engines)):
+                nursery.start_soon(self._run_host, index)
+
+    async def _run_host(self, index: int) -> None:
+        engine = self.engines[index]
+        while True:
+            await engine.begin_step()
+            maps = self.maps_by_step.setdefault(engine.step, {})
+            maps.setdefault(engine.active, []).append(index)
+            await self._end_step()
+
+    async def _end_step(self) -> None:
+        """Wait until every host has worked through the step."""
+        ended = self._ended
+        self._n_arrived += 1
+        if self._n_arrived < len(self.engines):
+            await ended.wait()
+            return
+        await trio.sleep(self._step_s)
+        self.step_ends.append(trio.current_time())
+        self._n_arrived = 0
+        self._ended = trio.Event()
+        ended.set()
--- /dev/null
+++ b/tests/coordination/expert_maps/harness.py
@@ -0,0 +1,257 @@
+"""A group of hosts on a memory network, driven step by step from plain code."""
+
+from __future__ import annotations
+
+import queue
+
+import trio
+from trio.testing import MockClock
+
+from poplarward.coordination.expert_maps import (
+    ChangeResult,
+    FenceMemory,
+    GroupHost,
+    MapCoordinator,
+    MapKeeper,
+    MapRecord,
+)
+from poplarward.coordination.rebalancing import Move, Transfer, initial_layers
+from poplarward.errors import PoplarwardError, StoreUnavailable
+from poplarward.protocol import Peers, ProcessIdentity
+from poplarward.protocol.expert_maps import Decided
+from poplarward.standins.object_store import MemoryObjectStore
+from poplarward.standins.rank_group import RankGroupStandin
+from poplarward.transport import Address, LinkFaults, MemoryNetwork
+
+GROUP = "drafts"
+N_EXPERTS, N_SLOTS, N_LAYERS = 4, 2, 1
+
+
+class FrozenPeers:
+    """The links of a process that can be frozen between any two messages.
+
+    Everything it sends is kept in ``sent``, so that it can arrive again later.
+    """
+
+    def __init__(self, peers, sent):
+        self.sent = sent
+        self._peers = peers
+        self.identity = peers.identity
+        self._running = trio.Event()
+        self._running.set()
+
+    def freeze(self):
+        self._running = trio.Event()
+
+    def wake(self):
+        self._running.set()
+
+    async def _pass(self, call, *arguments):
+        await self._running.wait()
+        if len(arguments) > 1:
+            self.sent.append((self._peers, arguments[0], arguments[1]))
+        result = await call(*arguments)
+        await self._running.wait()
+        return result
+
+    async def call(self, *arguments):
+        return await self._pass(self._peers.call, *arguments)
+
+    async def notify(self, *arguments):
+        return await self._pass(self._peers.notify, *arguments)
+
+    async def connection(self, *arguments):
+        return await self._pass(self._peers.connection, *arguments)
+
+
+class Coordinator:
+    """A coordinator with a fence that it believes in for as long as it lives."""
+
+    def __init__(self, peers, nursery, coordinator):
+        self.peers = peers
+        self.nursery = nursery
+        self.coordinator = coordinator
+        self.results: list[ChangeResult] = []
+
+
+class Group:
+    """Hosts, agents and coordinators of one model group."""
+
+    def __init__(self, nursery, n_hosts=3, checks_fence=True, seed=0):
+        self.cut: set[str] = set()
+        self.faults = LinkFaults(
+            delay_ms=1.0, is_cut=lambda a, b: bool(self.cut & {a, b})
+        )
+        self.network = MemoryNetwork(self.faults, seed)
+        self.store = MemoryObjectStore(seed=seed)
+        layers = initial_layers(n_hosts, N_EXPERTS, N_LAYERS, N_SLOTS)
+        self.ranks = RankGroupStandin(n_hosts, layers, 20.0, checks_fence)
+        self.hosts = [
+            GroupHost(f"agent-{i}", Address(f"10.0.1.{i}", 9000))
+            for i in range(n_hosts)
+        ]
+        self.agents: dict[int, tuple[trio.CancelScope, trio.Event]] = {}
+        self.keepers: dict[int, MapKeeper] = {}
+        self.coordinators: list[Coordinator] = []
+        self.sent = []
+        self.fence = 0
+        self._starts = 0
+        self._nursery = nursery
+
+    async def start(self):
+        self._nursery.start_soon(self.ranks.run)
+        for index in range(len(self.hosts)):
+            await self.start_agent(index)
+
+    async def start_agent(self, index):
+        if index not in self.agents:
+            self.agents[index] = await self._nursery.start(self._run_agent, index)
+
+    async def kill_agent(self, index):
+        if index in self.agents:
+            scope, ended = self.agents.pop(index)
+            scope.cancel()
+            await ended.wait()
+
+    async def start_coordinator(self):
+        self.fence += 1
+        name = f"entry-{self.fence}"
+        host = f"10.0.0.{self.fence}"
+        found = await self._nursery.start(self._run_coordinator, name, host)
+        self.coordinators.append(found)
+        return found
+
+    def propose(self, coordinator, rank, slot, expert):
+        """Begin a change of one slot."""
+        move = Move(0, rank, slot, expert)
+        coordinator.nursery.start_soon(self._change, coordinator, move)
+
+    async def send_again(self, which):
+        """Deliver a message once more, however old it is."""
+        peers, address, message = self.sent[which % len(self.sent)]
+        with trio.move_on_after(0.05):
+            try:
+                if isinstance(message, Decided):
+                    await peers.notify(address, message)
+                else:
+                    await peers.call(address, message, 50)
+            except PoplarwardError:
+                pass
+
+    async def read_fence(self):
+        await trio.sleep(0.002)
+        if self.store.faults.is_down:
+            raise StoreUnavailable("down")
+        return self.fence
+
+    def heal_host(self, index):
+        self.cut.discard(self.hosts[index].address.host)
+        engine = self.ranks.engines[index]
+        engine.is_stalled = engine.is_unreachable = False
+        engine.loses_answers = engine.fails_weights = False
+        engine.wake()
+
+    def heal(self):
+        self.faults.loss = self.faults.duplication = self.faults.jitter_ms = 0.0
+        self.store.set_down(False)
+        self.store.faults.lost_answers = 0.0
+        for index in range(len(self.hosts)):
+            self.heal_host(index)
+        for coordinator in self.coordinators:
+            coordinator.peers.wake()
+
+    async def _change(self, coordinator, move):
+        result = await coordinator.coordinator.change([move], [Transfer(move, 0)])
+        coordinator.results.append(result)
+
+    async def _run_agent(self, index, task_status):
+        host = self.hosts[index]
+        self._starts += 1
+        identity = ProcessIdentity("agent", host.name, self._starts, host.address, "a")
+        peers = Peers(self.network.host(host.address.host), identity, "s")
+        others = [h.address for h in self.hosts if h != host]
+        fences = FenceMemory(peers, GROUP, self.read_fence, lambda: others)
+        keeper = MapKeeper(peers, GROUP, self.ranks.engines[index], fences)
+        self.keepers[index] = keeper
+        ended = trio.Event()
+        async with trio.open_nursery() as nursery:
+            await keeper.start(nursery)
+            await peers.start(nursery)
+            task_status.started((nursery.cancel_scope, ended))
+        ended.set()
+
+    async def _run_coordinator(self, name, host, task_status):
+        fence = self.fence
+        identity = ProcessIdentity("entry", name, fence, Address(host, 9000), "a")
+        peers = Peers(self.network.host(host), identity, "s")
+        frozen = FrozenPeers(peers, self.sent)
+        coordinator = MapCoordinator(
+            frozen,
+            GROUP,
+            lambda: fence,
+            lambda: self.hosts,
+            MapRecord(self.store, GROUP),
+        )
+        async with trio.open_nursery() as nursery:
+            await peers.start(nursery)
+            found = Coordinator(frozen, nursery, coordinator)
+            task_status.started(found)
+            await trio.sleep_forever()
+
+
+class GuestTrio:
+    """Runs trio under virtual time, as far as plain code asks for.
+
+    Examples
+    --------
+    ``GuestTrio(main)`` starts ``main(nursery)``; `run` then runs one async function
+    to its end, and `advance` lets virtual time pass.
+    """
+
+    def __init__(self):
+        self._queue = queue.SimpleQueue()
+        self._outcome = None
+        self._send, self._receive = trio.open_memory_channel(1)
+        self.nursery = None
+        trio.lowlevel.start_guest_run(
+            self._main,
+            run_sync_soon_threadsafe=self._queue.put,
+            done_callback=self._finished,
+            clock=MockClock(autojump_threshold=0),
+        )
+        self._pump(lambda: self.nursery is not None)
+
+    def run(self, function, *arguments):
+        results = []
+
+        async def call():
+            results.append(await function(*arguments))
+
+        self._send.send_nowait(call)
+        self._pump(lambda: bool(results))
+        return results[0]
+
+    def advance(self, ms):
+        self.run(trio.sleep, ms / 1000)
+
+    def close(self):
+        self._send.close()
+        self._pump(lambda: self._outcome is not None)
+        self._outcome.unwrap()
+
+    async def _main(self):
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            async for call in self._receive:
+                await call()
+            nursery.cancel_scope.cancel()
+
+    def _finished(self, outcome):
+        self._outcome = outcome
+
+    def _pump(self, is_done):
+        while not is_done():
+            if self._outcome is not None:
+                self._outcome.unwrap()
+                raise RuntimeError("the run has ended")
+            self._queue.get()()
