--- a/poplarward/coordination/expert_maps/coordinator.py
+++ b/poplarward/coordination/expert_maps/coordinator.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from ...errors import PeerTimeout, PeerUnreachable, StoreUnavailable
+from ...errors import PeerTimeout, PeerUnreachable, StoreUnavailable, WriteUnknown
 from ...protocol import Peers
 from ...protocol.expert_maps import (
     Decision,
@@ -262,7 +262,7 @@
             try:
                 await self._record.write(self.current)
                 self._is_recorded = True
-            except StoreUnavailable as error:
+            except (StoreUnavailable, WriteUnknown) as error:
                 log.info("map.not_recorded", group=self._group, reason=str(error))
         return self._is_recorded
 
--- a/poplarward/coordination/expert_maps/record.py
+++ b/poplarward/coordination/expert_maps/record.py
@@ -7,12 +7,13 @@
 
 from ...errors import ConflictError, NotFound
 from ...protocol.expert_maps import MapId
-from ...state import ObjectStore
+from ...state import ObjectStore, Writer
 
 __all__ = ["MapRecord", "RecordedMap"]
 
 KIND = "expertmaps"
 FORMAT_VERSION = 1
+WRITE_TIMEOUT_MS = 2000.0
 
 
 class RecordedMap(NamedTuple):
@@ -29,12 +30,15 @@
     ----------
     store : ObjectStore
         The platform's object API.
+    writer : Writer
+        Writes to the same store.
     group : str
         Name of the model group.
     """
 
-    def __init__(self, store: ObjectStore, group: str):
+    def __init__(self, store: ObjectStore, writer: Writer, group: str):
         self._store = store
+        self._writer = writer
         self._group = group
 
     async def read(self) -> RecordedMap | None:
@@ -44,8 +48,8 @@
     async def write(self, recorded: RecordedMap) -> None:
         """Record a map unless the store holds a later one.
 
-        Raises `StoreUnavailable` if it is not known whether the write took effect;
-        writing the same map again is harmless.
+        Raises `StoreUnavailable` or `WriteUnknown`; writing the same map again is
+        harmless.
         """
         while True:
             version, held = await self._read()
@@ -57,9 +61,10 @@
                 "layers": _as_lists(recorded.layers),
             }
             try:
-                await self._store.put(KIND, self._group, spec, version)
+                await self._writer.put(
+                    KIND, self._group, spec, version, WRITE_TIMEOUT_MS
+                )
             except ConflictError:
-                # Another write came first, or this one after a lost answer.
                 continue
             return
 
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -27,6 +27,7 @@
     "StoreUnavailable",
     "UpstreamUnreachable",
     "WeightsUnavailable",
+    "WriteUnknown",
 ]
 
 
@@ -110,6 +111,10 @@
     """Weights could not be read from a peer rank or the weight store."""
 
 
+class WriteUnknown(PoplarwardError):
+    """Whether a write to the object API took effect could not be learnt in time."""
+
+
 class Finding(NamedTuple):
     """One thing found wrong in an input, with its place.
 
--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -10,7 +10,7 @@
 
 import hmac
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import cbor2
@@ -33,7 +33,7 @@
 HANDSHAKE_TIMEOUT_S = 3.0
 RECONNECT_PAUSE_S = 0.2
 
-_NOTICE, _CALL, _REPLY, _REFUSAL = range(4)
+_NOTICE, _CALL, _REPLY, _REFUSAL, _NOTICES = range(5)
 
 log = get_logger("peers")
 
@@ -74,6 +74,10 @@
         """Send a message that needs no reply; raises `PeerUnreachable`."""
         await self._send(_NOTICE, 0, to_array(value))
 
+    async def notify_all(self, values: Sequence[Any]) -> None:
+        """Send messages that need no reply as one; raises `PeerUnreachable`."""
+        await self._send(_NOTICES, 0, [to_array(value) for value in values])
+
     async def call(self, value: Any, timeout_ms: float) -> Any:
         """Send a message and return the reply.
 
@@ -120,6 +124,9 @@
                 peer=self.identity.name,
                 reason=str(group.exceptions[0]),
             )
+        except* Exception:
+            # A fault in one handler must not end the process and its other peers.
+            log.exception("peer.handler_failed", peer=self.identity.name)
         finally:
             self._fail_pending()
             self.closed.set()
@@ -135,18 +142,27 @@
         if kind == _REFUSAL:
             self._settle(call_id, CallRefused(str(body)))
             return
+        if kind == _NOTICES:
+            for notice in body if isinstance(body, list) else [body]:
+                value = from_array(notice)
+                await self._handler_of(value, handlers)(self, value)
+            return
         value = from_array(body)
         if kind == _REPLY:
             self._settle(call_id, value)
             return
-        handler = handlers.get(type(value))
-        if handler is None:
-            raise DecodeError(f"no handler for {type(value).__name__}")
+        handler = self._handler_of(value, handlers)
         if kind == _CALL:
             nursery.start_soon(self._answer, handler, value, call_id)
         else:
             await handler(self, value)
 
+    def _handler_of(self, value: Any, handlers: dict[type, Handler]) -> Handler:
+        handler = handlers.get(type(value))
+        if handler is None:
+            raise DecodeError(f"no handler for {type(value).__name__}")
+        return handler
+
     async def _answer(self, handler: Handler, value: Any, call_id: int) -> None:
         try:
             reply = await handler(self, value)
@@ -231,6 +247,22 @@
         for connection in list(self.accepted):
             await connection.close()
 
+    @property
+    def n_links(self) -> int:
+        """Outgoing connections that are open."""
+        return sum(link.connection is not None for link in self._links.values())
+
+    async def disconnect(self, process_name: str) -> None:
+        """Close every connection to a process, as when it is known to be gone.
+
+        A host that lost power closes nothing itself; without this, whoever waits
+        for its answers would wait for their whole deadline.
+        """
+        links = [link.connection for link in self._links.values()]
+        for connection in [*links, *self.accepted]:
+            if connection is not None and connection.identity.name == process_name:
+                await connection.close()
+
     async def connection(self, address: Address) -> Connection:
         """Return the open connection to an address; raises `PeerUnreachable`."""
         link = self._links.get(address)
@@ -258,22 +290,31 @@
 
     async def _run_link(self, link: _Link) -> None:
         """Hold one outgoing connection until it is lost."""
-        with link.scope:
-            try:
-                async with self._network.connect(link.address) as channel:
-                    connection = await self._handshake(channel)
-                    link.connection = connection
-                    link.settled.set()
-                    await connection._run(self._handlers)
-                    self._lost(connection)
-            except (PeerUnreachable, ChannelClosed, DecodeError) as error:
-                log.info("link.failed", address=str(link.address), reason=str(error))
+        try:
+            with link.scope:
+                await self._hold_link(link)
+        finally:
             link.connection = None
             link.settled.set()
-            # Keeps the failure for a moment, so that callers do not redial at once.
-            await trio.sleep(RECONNECT_PAUSE_S)
-        if self._links.get(link.address) is link:
-            del self._links[link.address]
+            if self._links.get(link.address) is link:
+                del self._links[link.address]
+
+    async def _hold_link(self, link: _Link) -> None:
+        try:
+            async with self._network.connect(link.address) as channel:
+                connection = await self._handshake(channel)
+                link.connection = connection
+                link.settled.set()
+                try:
+                    await connection._run(self._handlers)
+                finally:
+                    self._lost(connection)
+        except (PeerUnreachable, ChannelClosed, DecodeError) as error:
+            log.info("link.failed", address=str(link.address), reason=str(error))
+        link.connection = None
+        link.settled.set()
+        # Keeps the failure for a moment, so that callers do not redial at once.
+        await trio.sleep(RECONNECT_PAUSE_S)
 
     async def _accept(self, channel: Channel) -> None:
         try:
--- a/tests/coordination/expert_maps/harness.py
+++ b/tests/coordination/expert_maps/harness.py
@@ -21,6 +21,7 @@
 from poplarward.protocol.expert_maps import Decided
 from poplarward.standins.object_store import MemoryObjectStore
 from poplarward.standins.rank_group import RankGroupStandin
+from poplarward.state import Writer
 from poplarward.transport import Address, LinkFaults, MemoryNetwork
 
 GROUP = "drafts"
@@ -190,7 +191,7 @@
             GROUP,
             lambda: fence,
             lambda: self.hosts,
-            MapRecord(self.store, GROUP),
+            MapRecord(self.store, Writer(self.store), GROUP),
         )
         async with trio.open_nursery() as nursery:
             await peers.start(nursery)
