--- a/benchmarks/rebalance.py
+++ b/benchmarks/rebalance.py
@@ -88,6 +88,7 @@
     n_slowed: int = 0
     store_bytes: int = 0
     plan_us: list[float] = field(default_factory=list)
+    observe_us: float = 0.0
 
     def run_epoch(self, epoch: Epoch) -> None:
         """Run the steps of an epoch, take in its counts, and plan."""
@@ -95,11 +96,13 @@
             self.layers = apply_moves(self.layers, self.moving)
             self.moving = ()
         self.skews.append(step_skew(self.layers, epoch))
-        for counts in epoch.counts:
-            reported = seen_loads(self.layers[counts.layer], counts)
-            self.observed.loads.observe(counts.layer, reported, counts.at_step)
+        reported = [seen_loads(self.layers[c.layer], c) for c in epoch.counts]
+        started = time.process_time()
+        for counts, loads in zip(epoch.counts, reported, strict=True):
+            self.observed.loads.observe(counts.layer, loads, counts.at_step)
         for rank, ms in epoch.busy_ms_per_token.items():
             self.observed.speeds.observe(rank, 1.0, ms)
+        self.observe_us += (time.process_time() - started) * 1e6
         if not self.moving:
             self._plan(epoch.step + EPOCH_STEPS)
 
@@ -202,6 +205,7 @@
         "n_steps_slowed": course.n_slowed,
         "plan_us_mean": round(statistics.mean(course.plan_us)),
         "plan_us_max": round(max(course.plan_us)),
+        "core_percent": _round(core_percent(course, options)),
         "cost_steps_per_1000": _round(cost * per_1000),
         "weighted_sum": _round(
             1000 * weights.skew_weight * (mean - 1)
@@ -210,6 +214,12 @@
     }
 
 
+def core_percent(course: Course, options: WorkloadOptions) -> float:
+    """Return the share of a core that counting and planning take."""
+    busy_s = (sum(course.plan_us) + course.observe_us) / 1e6
+    return 100 * busy_s / (options.n_steps * COSTS.step_ms / 1000)
+
+
 def _round(value: float) -> float:
     return round(value, 4)
 
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -15,6 +15,8 @@
     "ChannelClosed",
     "ConflictError",
     "DecodeError",
+    "EngineRefused",
+    "EngineUnreachable",
     "Finding",
     "FindingsError",
     "NotFound",
@@ -26,6 +28,7 @@
     "StaleFence",
     "StoreUnavailable",
     "UpstreamUnreachable",
+    "WeightsUnavailable",
     "WriteUnknown",
 ]
 
@@ -50,6 +53,14 @@
     """Bytes received from another process do not form a known message."""
 
 
+class EngineRefused(PoplarwardError):
+    """An engine refused an order, and has not carried it out."""
+
+
+class EngineUnreachable(PoplarwardError):
+    """An engine gave no usable answer; it may have carried out the order."""
+
+
 class PeerUnreachable(PoplarwardError):
     """No connection to a peer could be opened, or it was lost."""
 
@@ -106,6 +117,10 @@
         self.sent = sent
 
 
+class WeightsUnavailable(PoplarwardError):
+    """Weights could not be read from a peer rank or the weight store."""
+
+
 class WriteUnknown(PoplarwardError):
     """Whether a write to the object API took effect could not be learnt in time."""
 
