--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -15,6 +15,8 @@
     "ChannelClosed",
     "ConflictError",
     "DecodeError",
+    "EngineRefused",
+    "EngineUnreachable",
     "Finding",
     "FindingsError",
     "NotFound",
@@ -22,9 +24,11 @@
     "PeerUnreachable",
     "PoplarwardError",
     "Refused",
+    "RevisionTooOld",
     "StaleFence",
     "StoreUnavailable",
     "UpstreamUnreachable",
+    "WeightsUnavailable",
     "WriteUnknown",
 ]
 
@@ -49,6 +53,14 @@
     """Bytes received from another process do not form a known message."""
 
 
+class EngineRefused(PoplarwardError):
+    """An engine refused an order, and has not carried it out."""
+
+
+class EngineUnreachable(PoplarwardError):
+    """An engine gave no usable answer; it may have carried out the order."""
+
+
 class PeerUnreachable(PoplarwardError):
     """No connection to a peer could be opened, or it was lost."""
 
@@ -57,6 +69,10 @@
     """A peer did not answer a call in time."""
 
 
+class RevisionTooOld(PoplarwardError):
+    """The changes since a revision are not kept any more; list and start anew."""
+
+
 class StaleFence(PoplarwardError):
     """An order was refused because a newer holder of the lease may have given one."""
 
@@ -101,6 +117,10 @@
         self.sent = sent
 
 
+class WeightsUnavailable(PoplarwardError):
+    """Weights could not be read from a peer rank or the weight store."""
+
+
 class WriteUnknown(PoplarwardError):
     """Whether a write to the object API took effect could not be learnt in time."""
 
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -21,13 +21,17 @@
 
 import trio
 
-from ..coordination import ConfigurationFollower, HostList
-from ..errors import PeerUnreachable
-from ..operations import OperationsService, operations_application
+from ..coordination import ConfigurationSync, HostList, ListedMembers
+from ..operations import (
+    DeploymentStatus,
+    OperationsService,
+    operations_application,
+)
 from ..protocol import Peers, ProcessIdentity
 from ..protocol.identity import new_start_id
 from ..requests import (
     Admission,
+    AgentConnections,
     AgentTable,
     AttemptLoop,
     Gateway,
@@ -43,8 +47,6 @@
 
 __all__ = ["main"]
 
-CONNECT_INTERVAL_S = 0.5
-
 log = get_logger("entry")
 
 
@@ -66,29 +68,39 @@
     store = HttpObjectStore(settings["platform_url"])
     hosts = HostList(settings["platform_url"])
     view = ConfigurationView()
-    follower = ConfigurationFollower(store, view)
     peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
+    configuration = ConfigurationSync(peers, store, view, ListedMembers(hosts))
     agents = AgentTable(peers)
     relay = Relay(peers)
-    attempts = AttemptLoop(peers, relay, Router(agents))
+    router = Router(
+        agents,
+        leaving=lambda: _leaving(hosts),
+        data_centre=settings["data_centre"],
+        far_cost_requests=settings.get("far_cost_requests", 0.0),
+    )
+    connections = AgentConnections(peers, agents, lambda: hosts.hosts.values())
+    attempts = AttemptLoop(peers, relay, router)
     metrics = RequestMetrics()
     gateway = Gateway(
         view, Admission(), attempts, lambda: _entry_addresses(hosts), metrics
     )
-    monitoring = Monitoring(metrics.render, lambda: _missing(follower, hosts, peers))
-    operations = OperationsService(store, view)
+    monitoring = Monitoring(
+        metrics.render, lambda: _missing(configuration, hosts, peers)
+    )
+    status = DeploymentStatus(peers, configuration, view, hosts)
+    operations = OperationsService(store, view, status)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
-        await follower.start(nursery)
-        nursery.start_soon(_connect_agents, hosts, peers)
+        await configuration.start(nursery)
+        nursery.start_soon(connections.run)
         if "metrics_listen" in settings:
             await nursery.start(
                 serve_http,
                 asgi_application(monitoring.handle),
                 Address.parse(settings["metrics_listen"]),
             )
-        await follower.ready.wait()
+        await configuration.ready.wait()
         await nursery.start(
             serve_http,
             asgi_application(gateway.handle),
@@ -107,28 +119,17 @@
         nursery.cancel_scope.cancel()
 
 
-async def _connect_agents(hosts: HostList, peers: Peers) -> None:
-    """Keep a connection to every listed agent."""
-    while True:
-        async with trio.open_nursery() as nursery:
-            for host in hosts.with_role("agent"):
-                nursery.start_soon(_try_connect, peers, host.peers)
-        await trio.sleep(CONNECT_INTERVAL_S)
-
-
-async def _try_connect(peers: Peers, address: Address) -> None:
-    try:
-        await peers.connection(address)
-    except PeerUnreachable as error:
-        log.debug("agent.unreachable", address=str(address), reason=str(error))
+def _leaving(hosts: HostList) -> set[str]:
+    """Return the agents that the platform's list names as leaving."""
+    return {h.name for h in hosts.with_role("agent") if h.state == "leaving"}
 
 
 def _missing(
-    follower: ConfigurationFollower, hosts: HostList, peers: Peers
+    configuration: ConfigurationSync, hosts: HostList, peers: Peers
 ) -> list[str]:
     """Return what keeps the entry host from serving."""
     missing = []
-    if not follower.ready.is_set():
+    if not configuration.ready.is_set():
         missing.append("no configuration is in force yet")
     if hosts.with_role("agent") and not peers.n_links:
         missing.append("no agent is connected")
