Wire membership and control roles into the programs

Cause: the entry host named and used whatever the platform's lagging list said, and nobody held control roles. Change: entry hosts run Membership and ControlRoles, agents answer probes by Presence. Callers are told the addresses of live entry hosts, near ones first; the router leaves out agents that are suspect, leaving or gone; the configuration follows live members. On a planned stop membership says leaving first, then the roles are given up. Settings: lease_length_ms, 6,000 by default.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -135,7 +135,9 @@
         await self.wait_for_event(process, "standin.started")
         return process
 
-    async def start_entry(self, name: str, data_centre: str) -> ManagedProcess:
+    async def start_entry(
+        self, name: str, data_centre: str, **more_settings: Any
+    ) -> ManagedProcess:
         """Start an entry host, list it, and wait until it serves."""
         host = self.new_host()
         self.settings[name] = {
@@ -148,6 +150,7 @@
             "platform_url": self.platform_url,
             "peer_secret": PEER_SECRET,
             "operator_tokens": {"demo": OPERATOR_TOKEN},
+            **more_settings,
         }
         await self.list_host(name)
         return await self.restart(name)
--- a/poplarward/coordination/__init__.py
+++ b/poplarward/coordination/__init__.py
@@ -9,7 +9,8 @@
 from .fencing import FenceGuard, FenceKeeper
 from .hosts import HostEntry, HostList
 from .leases import Lease, LeaseTiming
-from .roles import ControlRoles
+from .membership import Membership, Presence
+from .roles import ControlRoles, map_role
 
 __all__ = [
     "ConfigurationSync",
@@ -20,5 +21,8 @@
     "HostList",
     "Lease",
     "LeaseTiming",
+    "Membership",
+    "Presence",
     "ListedMembers",
+    "map_role",
 ]
--- a/poplarward/coordination/hosts.py
+++ b/poplarward/coordination/hosts.py
@@ -73,6 +73,10 @@
         self.on_change: list[Callable[[], None]] = []
         self._client = HttpClient(base_url, n_connections=2)
 
+    def hosts_now(self) -> list[HostEntry]:
+        """Return the hosts of the last list."""
+        return list(self.hosts.values())
+
     def with_role(self, role: str) -> list[HostEntry]:
         """Return the hosts of a role, ordered by name."""
         found = [host for host in self.hosts.values() if host.role == role]
--- a/poplarward/coordination/leases.py
+++ b/poplarward/coordination/leases.py
@@ -44,6 +44,11 @@
     poll_interval_ms: float = 2000.0
     drift: float = 0.02
 
+    @classmethod
+    def of_length(cls, length_ms: float) -> LeaseTiming:
+        """Return the timing for a length, with renewals that may fail twice."""
+        return cls(length_ms, length_ms / 3, length_ms / 3)
+
 
 class LeaseCandidate(NamedTuple):
     """Where a process stands among those that may hold a lease.
--- a/poplarward/coordination/membership/membership.py
+++ b/poplarward/coordination/membership/membership.py
@@ -102,6 +102,7 @@
         self._watches: dict[str, trio.CancelScope] = {}
         self._needs_assignment = True
         self._answered_at = 0.0
+        self._not_live: dict[str, frozenset[str]] = {}
         self._scope = trio.CancelScope()
         presence.table_digest = self._table.digest
         peers.register(ReachabilityReport, self._on_reachability)
@@ -123,6 +124,16 @@
         found = self.members(role, data_centre)
         return [member for member in found if member.state is MemberState.LIVE]
 
+    def not_live(self, role: str) -> frozenset[str]:
+        """Return the names of a role's processes that may not be given work."""
+        if role not in self._not_live:
+            self._not_live[role] = frozenset(
+                member.identity.name
+                for member in self.members(role)
+                if member.state is not MemberState.LIVE
+            )
+        return self._not_live[role]
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to watch and to be watched."""
         self._read_hosts()
@@ -179,6 +190,7 @@
         self._spreader.publish([contradiction])
 
     def _changed(self) -> None:
+        self._not_live.clear()
         for callback in self.on_change:
             callback()
 
@@ -266,6 +278,7 @@
                 return False
             self._watches.pop(held.name, None)
             self._table.forget(held.name)
+            self._changed()
             return True
         if silent_ms >= self._timing.suspect_ms:
             self._spread(held._replace(state=MemberState.GONE))
--- a/poplarward/coordination/roles.py
+++ b/poplarward/coordination/roles.py
@@ -19,7 +19,7 @@
 from ..telemetry import get_logger
 from .leases import Lease, LeaseCandidate, LeaseTiming
 
-__all__ = ["ControlRoles", "holder_name", "slot_of"]
+__all__ = ["ControlRoles", "holder_name", "map_role", "slot_of"]
 
 N_SLOTS = 64
 N_CANDIDATES = 3
@@ -40,6 +40,11 @@
     return f"slot-{slot}-of-{n_slots}"
 
 
+def map_role(group: str) -> str:
+    """Return the control role that decides a model group's expert map."""
+    return f"map/{group}"
+
+
 def holder_name(identity: ProcessIdentity) -> str:
     """Return the name by which one start of a process holds leases."""
     return f"{identity.name}:{identity.start_id:x}"
--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -22,7 +22,7 @@
 import trio
 from prometheus_client import REGISTRY, generate_latest
 
-from ..coordination import ConfigurationSync
+from ..coordination import ConfigurationSync, Presence
 from ..protocol import Peers, ProcessIdentity
 from ..protocol.identity import new_start_id
 from ..protocol.reports import UpstreamKind, UpstreamState
@@ -65,6 +65,7 @@
     store = HttpObjectStore(settings["platform_url"])
     configuration = ConfigurationSync(peers, store, ConfigurationView())
     executor = Executor(peers, upstream)
+    presence = Presence(peers)
     monitoring = Monitoring(
         lambda: generate_latest(REGISTRY), lambda: _missing(executor, configuration)
     )
@@ -79,6 +80,7 @@
         )
         log.info("agent.started", name=settings["name"], upstream=upstream.name)
         await wait_for_stop(lambda: executor.n_attempts)
+        presence.leave()
         await executor.drain()
         await peers.close()
         await executor.close()
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -21,7 +21,15 @@
 
 import trio
 
-from ..coordination import ConfigurationSync, HostList, ListedMembers
+from ..coordination import (
+    ConfigurationSync,
+    ControlRoles,
+    HostList,
+    LeaseTiming,
+    Membership,
+    Presence,
+    map_role,
+)
 from ..operations import (
     DeploymentStatus,
     OperationsService,
@@ -38,7 +46,7 @@
     Relay,
     Router,
 )
-from ..state import ConfigurationView, HttpObjectStore
+from ..state import ConfigurationView, HttpObjectStore, Writer
 from ..telemetry import RequestMetrics, get_logger
 from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
 from .monitoring import Monitoring
@@ -47,6 +55,9 @@
 
 __all__ = ["main"]
 
+LEASE_LENGTH_MS = 6000.0
+RELEASE_TIMEOUT_S = 2.0
+
 log = get_logger("entry")
 
 
@@ -69,12 +80,22 @@
     hosts = HostList(settings["platform_url"])
     view = ConfigurationView()
     peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
-    configuration = ConfigurationSync(peers, store, view, ListedMembers(hosts))
+    presence = Presence(peers, settings["callers_listen"])
+    membership = Membership(peers, presence, hosts.hosts_now, seed=identity.start_id)
+    roles = ControlRoles(
+        store,
+        Writer(store, identity.start_id),
+        identity,
+        lambda: [member.identity.name for member in membership.live("entry")],
+        lambda: [map_role(name) for name, _ in view.specs("modelgroups")],
+        LeaseTiming.of_length(settings.get("lease_length_ms", LEASE_LENGTH_MS)),
+    )
+    configuration = ConfigurationSync(peers, store, view, membership)
     agents = AgentTable(peers)
     relay = Relay(peers)
     router = Router(
         agents,
-        leaving=lambda: _leaving(hosts),
+        leaving=lambda: membership.not_live("agent"),
         data_centre=settings["data_centre"],
         far_cost_requests=settings.get("far_cost_requests", 0.0),
     )
@@ -82,7 +103,11 @@
     attempts = AttemptLoop(peers, relay, router)
     metrics = RequestMetrics()
     gateway = Gateway(
-        view, Admission(), attempts, lambda: _entry_addresses(hosts), metrics
+        view,
+        Admission(),
+        attempts,
+        lambda: _entry_addresses(membership, settings),
+        metrics,
     )
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
@@ -92,7 +117,9 @@
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
+        await membership.start(nursery)
         await configuration.start(nursery)
+        await roles.start(nursery)
         nursery.start_soon(connections.run)
         if "metrics_listen" in settings:
             await nursery.start(
@@ -113,17 +140,15 @@
         )
         log.info("entry.started", name=settings["name"], revision=view.revision)
         await wait_for_stop(lambda: gateway.n_open)
+        await membership.close()
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            await roles.close()
         while gateway.n_open:
             await trio.sleep(0.05)
         await peers.close()
         nursery.cancel_scope.cancel()
 
 
-def _leaving(hosts: HostList) -> set[str]:
-    """Return the agents that the platform's list names as leaving."""
-    return {h.name for h in hosts.with_role("agent") if h.state == "leaving"}
-
-
 def _missing(
     configuration: ConfigurationSync, hosts: HostList, peers: Peers
 ) -> list[str]:
@@ -136,12 +161,12 @@
     return missing
 
 
-def _entry_addresses(hosts: HostList) -> list[Address]:
-    return [
-        Address.parse(host.callers_address)
-        for host in hosts.with_role("entry")
-        if host.state == "live"
-    ]
+def _entry_addresses(membership: Membership, settings: EntrySettings) -> list[Address]:
+    """Return the callers' addresses of the live entry hosts, near ones first."""
+    own = settings["data_centre"]
+    entries = [member for member in membership.live("entry") if member.callers_address]
+    entries.sort(key=lambda m: (m.identity.data_centre != own, m.identity.name))
+    return [Address.parse(member.callers_address) for member in entries]
 
 
 if __name__ == "__main__":
--- a/poplarward/programs/settings.py
+++ b/poplarward/programs/settings.py
@@ -43,6 +43,7 @@
     operators_tls: NotRequired[TlsSettings]
     peers_tls: NotRequired[TlsSettings]
     far_cost_requests: NotRequired[float]
+    lease_length_ms: NotRequired[float]
     log_level: NotRequired[Literal["debug", "info", "warning", "error"]]
 
 
--- a/tests/coordination/membership/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -34,6 +34,9 @@
         host = fleet.hosts[name]
         host.scope.cancel() if failure == "kill" else host.freeze()
         await fleet.wait_until(lambda: fleet.views_of(name) == {SUSPECT}, 6)
+        role = host.peers.identity.role
+        others = [h for h in fleet.entries() if h is not host]
+        assert {h.membership.not_live(role) for h in others} == {frozenset([name])}
         await fleet.wait_until(lambda: fleet.views_of(name) == {GONE}, 8)
         assert fleet.not_live() <= {name}
         if failure == "freeze":
