Name a few entry hosts to a caller, near ones first, spread by its address

Cause: each caller was told all live entry hosts in one order, a thousand addresses at the letter's size, and those who take the first all met at one host. Ruled out: a shuffled list, which moves a caller's connections at each look-up.

Change: four hosts of the own data centre and two of others, by rendezvous hashing of the caller's IP number.

--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -45,6 +45,7 @@
     Gateway,
     Relay,
     Router,
+    named_addresses,
 )
 from ..state import ConfigurationView, HttpObjectStore, Writer
 from ..telemetry import RequestMetrics, get_logger
@@ -106,7 +107,9 @@
         view,
         Admission(),
         attempts,
-        lambda: _entry_addresses(membership, settings),
+        lambda caller_host: named_addresses(
+            membership.live("entry"), settings["data_centre"], caller_host
+        ),
         metrics,
     )
     monitoring = Monitoring(
@@ -161,13 +164,5 @@
     return missing
 
 
-def _entry_addresses(membership: Membership, settings: EntrySettings) -> list[Address]:
-    """Return the callers' addresses of the live entry hosts, near ones first."""
-    own = settings["data_centre"]
-    entries = [member for member in membership.live("entry") if member.callers_address]
-    entries.sort(key=lambda m: (m.identity.data_centre != own, m.identity.name))
-    return [Address.parse(member.callers_address) for member in entries]
-
-
 if __name__ == "__main__":
     main()
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -5,6 +5,7 @@
 `Relay`. On an upstream host the `Executor` runs attempts at the upstream.
 """
 
+from .addresses import named_addresses
 from .admission import Admission
 from .attempts import AttemptLoop
 from .execution import Executor
@@ -24,4 +25,5 @@
     "Relay",
     "Router",
     "UpstreamSettings",
+    "named_addresses",
 ]
--- a/poplarward/requests/gateway.py
+++ b/poplarward/requests/gateway.py
@@ -10,7 +10,7 @@
 from ..protocol.requests import Outcome
 from ..state import ConfigurationView
 from ..telemetry import RequestMetrics, RequestTimer
-from ..transport import Address, HttpRequest, Responder
+from ..transport import HttpRequest, Responder
 from .admission import Admission
 from .answers import OUTCOME_HEADER, respond_error
 from .attempts import AttemptLoop
@@ -35,7 +35,7 @@
     attempts : AttemptLoop
         Runs a request at upstreams and relays the answer.
     entry_addresses : callable
-        Returns the callers' addresses of the entry hosts to name, best first.
+        Returns the addresses to name to a caller's IP number, best first.
     metrics : RequestMetrics, optional
         Where the callers' experience is counted.
     """
@@ -45,7 +45,7 @@
         configuration: ConfigurationView,
         admission: Admission,
         attempts: AttemptLoop,
-        entry_addresses: Callable[[], list[Address]],
+        entry_addresses: Callable[[str], list[str]],
         metrics: RequestMetrics | None = None,
     ):
         self._directory = Directory(configuration)
@@ -71,7 +71,7 @@
 
     async def _answer(self, request: HttpRequest, responder: Responder) -> None:
         if (request.method, request.path) == ("GET", "/v1/addresses"):
-            addresses = [str(address) for address in self._entry_addresses()]
+            addresses = self._entry_addresses(request.caller_host)
             document = {"addresses": addresses, "keep_ms": ADDRESS_KEEP_MS}
             await responder.respond_json(200, document)
             return
--- a/poplarward/transport/http_server.py
+++ b/poplarward/transport/http_server.py
@@ -59,11 +59,14 @@
         The decoded path.
     target : str
         Path and query as they were sent.
+    caller_host : str
+        IP number of the other end of the connection.
     """
 
     method: str
     path: str
     target: str
+    caller_host: str
     query: dict[str, str]
     headers: dict[str, str]
     receive: Callable[[], Awaitable[dict[str, Any]]]
@@ -161,6 +164,7 @@
             method=scope["method"],
             path=scope["path"],
             target=_target(scope),
+            caller_host=scope["client"][0] if scope["client"] else "",
             query={name: values[-1] for name, values in query.items()},
             headers={
                 name.decode("latin-1").lower(): value.decode("latin-1")
