--- a/benchmarks/memory_path.py
+++ b/benchmarks/memory_path.py
@@ -111,7 +111,7 @@
             if self.is_up:
                 send.send_nowait(event)
 
-        request = HttpRequest(method, path, path, {}, {}, receive)
+        request = HttpRequest(method, path, path, "10.9.0.1", {}, {}, receive)
         await self._handler(request, Responder(emit))
 
 
--- a/tests/requests/test_caller_session.py
+++ b/tests/requests/test_caller_session.py
@@ -70,7 +70,7 @@
         self.lines.append(f"> {method} {path}")
         self.lines += [f"> {name}: {headers[name]}" for name in sorted(headers)]
         self.lines += [f"> {content.decode()}"] if content else []
-        request = HttpRequest(method, path, path, {}, headers, receive)
+        request = HttpRequest(method, path, path, "10.9.0.1", {}, headers, receive)
         await self._gateway.handle(request, caller)
         self.lines.append(f"< {caller.status}")
         names = sorted(caller.headers)
@@ -98,7 +98,9 @@
     path, engines, ledger = await start_path(nursery)
     entry = await path.start_entry()
     addresses = [Address("10.1.0.1", 8000)]
-    gateway = Gateway(make_view(), Admission(), entry, lambda: addresses)
+    gateway = Gateway(
+        make_view(), Admission(), entry, lambda caller_host: list(map(str, addresses))
+    )
     session = Session(gateway)
     draft = {"model": "portrait", "prompt": "A grey cat.", "max_tokens": 3}
     pay = {"reference": "b-1", "cents": 4000}
