Split workspaces' limits over entry hosts by demand

Cause: requests_per_s and tokens_per_s of a workspace were declared and not enforced.

Ruled out: counting in the store (a call a request, and an outage stops all) and an even part for each entry host (callers of one workspace use a few, so most would be lost).

Change: each entry host reports the demand for each workspace once a second to a splitter of its data centre, chosen by rendezvous hashing, and gets a share; splitters divide among data centres in the same way. Over the limit, a request is refused at once with when to come back.

--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -45,6 +45,7 @@
     Gateway,
     Relay,
     Router,
+    WorkspaceLimits,
     named_addresses,
 )
 from ..state import ConfigurationView, HttpObjectStore, Writer
@@ -102,10 +103,16 @@
     )
     connections = AgentConnections(peers, agents, lambda: hosts.hosts.values())
     attempts = AttemptLoop(peers, relay, router)
+    limits = WorkspaceLimits(
+        peers,
+        view,
+        lambda: [member.identity for member in membership.live("entry")],
+    )
     metrics = RequestMetrics()
+    admission = Admission(limits=limits)
     gateway = Gateway(
         view,
-        Admission(),
+        admission,
         attempts,
         lambda caller_host: named_addresses(
             membership.live("entry"), settings["data_centre"], caller_host
@@ -124,6 +131,7 @@
         await configuration.start(nursery)
         await roles.start(nursery)
         nursery.start_soon(connections.run)
+        await limits.start(nursery)
         if "metrics_listen" in settings:
             await nursery.start(
                 serve_http,
--- a/poplarward/protocol/requests.py
+++ b/poplarward/protocol/requests.py
@@ -56,6 +56,7 @@
     KEY_IN_PROGRESS = "key-in-progress"
     KEY_UNKNOWN = "key-unknown"
     LEAVING = "leaving"
+    OVERLOADED = "overloaded"
     STORE_AWAY = "store-away"
 
 
@@ -73,6 +74,10 @@
         Key that names a non-repeatable call; empty for others.
     n_pieces_received : int
         Pieces the caller has already; the answer resumes after them.
+    share : float
+        The workspace's share of the upstream within its class.
+    n_tokens : int
+        Tokens that the request is expected to take.
     """
 
     request_id: RequestId
@@ -86,6 +91,8 @@
     repeatable: bool
     idempotency_key: str = ""
     n_pieces_received: int = 0
+    share: float = 1.0
+    n_tokens: int = 1
 
 
 @message(11)
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -10,6 +10,7 @@
 from .attempts import AttemptLoop
 from .execution import Executor
 from .gateway import Gateway
+from .limits import WorkspaceLimits
 from .relay import Relay
 from .routing import AgentConnections, AgentTable, AgentView, Router
 from .upstream import UpstreamSettings
@@ -25,5 +26,6 @@
     "Relay",
     "Router",
     "UpstreamSettings",
+    "WorkspaceLimits",
     "named_addresses",
 ]
--- a/poplarward/requests/admission.py
+++ b/poplarward/requests/admission.py
@@ -9,6 +9,7 @@
 
 from ..errors import Refused
 from .caller import CallerRequest
+from .limits import WorkspaceLimits
 
 __all__ = ["Admission"]
 
@@ -22,14 +23,19 @@
     ----------
     n_slots : int
         Requests in progress at once.
+    limits : WorkspaceLimits, optional
+        Limits of the workspaces.
     """
 
-    def __init__(self, n_slots: int = 4096):
+    def __init__(self, n_slots: int = 4096, limits: WorkspaceLimits | None = None):
+        self._limits = limits
         self._slots = trio.Semaphore(n_slots)
 
     @asynccontextmanager
     async def slot(self, request: CallerRequest) -> AsyncIterator[None]:
         """Hold a slot for the length of a block; raises `Refused` without one."""
+        if self._limits is not None:
+            self._limits.check(request)
         try:
             self._slots.acquire_nowait()
         except trio.WouldBlock:
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -177,6 +177,8 @@
             repeatable=request.repeatable,
             idempotency_key=request.idempotency_key,
             n_pieces_received=progress.answer.n_pieces,
+            share=request.share,
+            n_tokens=request.n_tokens,
         )
 
     async def _follow(
--- a/poplarward/requests/caller.py
+++ b/poplarward/requests/caller.py
@@ -32,3 +32,5 @@
     body: bytes
     idempotency_key: str
     prefix_digest: str = ""
+    share: float = 1.0
+    n_tokens: int = 1
--- a/poplarward/requests/directory.py
+++ b/poplarward/requests/directory.py
@@ -12,6 +12,10 @@
 __all__ = ["Directory"]
 
 
+DEFAULT_SHARE = 1.0
+MIN_SHARE = 0.001
+
+
 class Directory:
     """Index of the configuration by what callers send.
 
@@ -40,6 +44,11 @@
             raise CallerError(401, "no workspace has this credential")
         return name
 
+    def share(self, workspace: str) -> float:
+        """Return a workspace's share, which is never 0."""
+        spec = self._configuration.get("workspaces", workspace)
+        return max(MIN_SHARE, spec.get("share", DEFAULT_SHARE)) if spec else MIN_SHARE
+
     def model_group(self, model: Any) -> str:
         """Return the model group that serves a model."""
         self._refresh()
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from ..errors import UpstreamUnreachable
+from ..errors import Refused, UpstreamUnreachable
 from ..protocol import Connection, Peers, RequestId
 from ..protocol.attempts import AttemptQuery, AttemptState
 from ..protocol.reports import AgentReport, UpstreamState
@@ -29,6 +29,7 @@
 from .outcomes import OutcomeRecord
 from .packing import PiecePacker
 from .reporting import LoadReporter
+from .slots import Demand, FairSlots
 from .upstream import Upstream, UpstreamClient, UpstreamSettings
 
 __all__ = ["Executor"]
@@ -97,7 +98,7 @@
         self._peers = peers
         self._settings = settings
         self._upstream = Upstream(settings, client)
-        self._slots = trio.Semaphore(settings.n_slots)
+        self._slots = FairSlots(settings.n_slots)
         self._attempts: dict[RequestId, _Attempt] = {}
         self._outcomes = OutcomeRecord()
         self._packers: dict[Connection, PiecePacker] = {}
@@ -216,7 +217,10 @@
         attempt.scope.deadline = trio.current_time() + submit.deadline_ms / 1000
         end = None
         with attempt.scope:
-            end = await self._run_in_slot(attempt)
+            try:
+                end = await self._run_in_slot(attempt)
+            except Refused as error:
+                end = _overloaded(attempt, error)
         if end is None:
             end = _cut_short(attempt)
         self._outcomes.put(submit.request_id, end.outcome)
@@ -225,7 +229,7 @@
         attempt.packer.end(end)
 
     async def _run_in_slot(self, attempt: _Attempt) -> End | None:
-        async with self._slots:
+        async with self._slots.hold(_demand(attempt.submit)):
             # A slot may be handed over in the same step as the bar was answered.
             if attempt.barred:
                 return None
@@ -279,6 +283,28 @@
         )
 
 
+def _demand(submit: Submit) -> Demand:
+    return Demand(
+        submit.priority_class,
+        submit.workspace,
+        submit.share,
+        max(1, submit.n_tokens),
+        submit.deadline_ms,
+    )
+
+
+def _overloaded(attempt: _Attempt, error: Refused) -> End:
+    """Return the end of an attempt that got no slot."""
+    return End(
+        attempt.submit.request_id,
+        Outcome.NOT_RUN,
+        attempt.n_pieces,
+        str(error),
+        int(error.retry_after_ms),
+        Refusal.OVERLOADED,
+    )
+
+
 def _cut_short(attempt: _Attempt) -> End:
     """Return the end of an attempt that was stopped or ran out of time."""
     end = End(
--- a/poplarward/requests/reading.py
+++ b/poplarward/requests/reading.py
@@ -19,6 +19,7 @@
 BODY_TIMEOUT_S = 10.0
 DEFAULT_DEADLINE_MS = {PriorityClass.URGENT: 5_000, PriorityClass.DRAFTING: 60_000}
 MAX_KEY_CHARACTERS = 200
+CHARACTERS_PER_TOKEN = 4
 FORWARDED_HEADERS = ("content-type", "accept", "idempotency-key")
 SERVICES_PREFIX = "/v1/services/"
 
@@ -31,6 +32,7 @@
     repeatable: bool
     default_class: PriorityClass
     prefix_digest: str = ""
+    n_tokens: int = 1
 
 
 async def read_caller_request(
@@ -66,6 +68,8 @@
         body=body,
         idempotency_key=_read_key(request),
         prefix_digest=target.prefix_digest,
+        share=directory.share(workspace),
+        n_tokens=target.n_tokens,
     )
 
 
@@ -79,8 +83,15 @@
     if (request.method, request.path) == ("POST", "/v1/completions"):
         document = _read_completion(body)
         group = directory.model_group(document["model"])
-        digest = prefix_digest(document["prompt"])
-        return _Target(group, request.target, True, PriorityClass.DRAFTING, digest)
+        prompt = document["prompt"]
+        return _Target(
+            group,
+            request.target,
+            True,
+            PriorityClass.DRAFTING,
+            prefix_digest(prompt),
+            document.get("max_tokens", 1) + len(prompt) // CHARACTERS_PER_TOKEN,
+        )
     if not request.target.startswith(SERVICES_PREFIX):
         raise CallerError(404, f"no such path: {request.path[:80]}")
     name, _, rest = request.target.removeprefix(SERVICES_PREFIX).partition("/")
