Forget processes long gone everywhere, and read long host lists less often

Cause: only the watchers of a process that was gone forgot it; the other entry hosts kept it and gave it back with the next comparison of tables, so tables grew with every replacement. Each entry host also read the whole host list every second, 1.6 MB/s at 10,000 hosts by the length of an entry, and scanned all records on each question. Ruled out: forgetting by watchers and telling others, which the next pull undoes. Change: every entry host forgets by itself and takes no record of a process that is gone and unknown to it. The interval of reading the list keeps to 8,000 bytes/s, at moments of each host's own, and whoever finds a change spreads it. Answers about all processes are kept until a change. What the list calls leaving stays so when the process restarts. membership.py was split: view, centres.

--- a/poplarward/coordination/hosts.py
+++ b/poplarward/coordination/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import Callable
 from typing import Literal, NamedTuple
 
@@ -13,13 +14,28 @@
 from ..telemetry import get_logger
 from ..transport import Address, HttpClient
 
-__all__ = ["HostEntry", "HostList"]
+__all__ = ["HostEntry", "HostList", "poll_interval_ms"]
 
-POLL_INTERVAL_MS = 1000.0
+MIN_POLL_INTERVAL_MS = 1000.0
+LIST_BYTES_PER_S = 8000
 
 log = get_logger("hosts")
 
 
+def poll_interval_ms(n_bytes: int) -> float:
+    """Return how often a list of some length is read, to stay within a byte rate.
+
+    Each entry host reads at times of its own and spreads what is new, so a change is
+    found sooner the more hosts there are.
+
+    Examples
+    --------
+    >>> poll_interval_ms(3_000), poll_interval_ms(1_600_000)
+    (1000.0, 200000.0)
+    """
+    return max(MIN_POLL_INTERVAL_MS, n_bytes / LIST_BYTES_PER_S * 1000)
+
+
 class HostEntry(NamedTuple):
     """A host as the platform lists it.
 
@@ -72,6 +88,8 @@
         self.hosts: dict[str, HostEntry] = {}
         self.on_change: list[Callable[[], None]] = []
         self._client = HttpClient(base_url, n_connections=2)
+        self._rng = random.Random()
+        self._n_bytes = 0
 
     def hosts_now(self) -> list[HostEntry]:
         """Return the hosts of the last list."""
@@ -93,13 +111,15 @@
 
     async def _run(self) -> None:
         while True:
-            await trio.sleep(POLL_INTERVAL_MS / 1000)
+            interval_ms = poll_interval_ms(self._n_bytes)
+            await trio.sleep(self._rng.uniform(0.5, 1.5) * interval_ms / 1000)
             await self._poll()
 
     async def _poll(self) -> None:
         try:
             response = await self._client.call("GET", "/hosts", timeout_ms=2000)
             entries = json.loads(response.body)["hosts"]
+            self._n_bytes = len(response.body)
             hosts = {host.name: host for host in _HOSTS.validate_python(entries)}
         except (UpstreamUnreachable, ValidationError, ValueError, KeyError) as error:
             log.warning("hosts.unreadable", reason=str(error))
--- a/poplarward/coordination/membership/__init__.py
+++ b/poplarward/coordination/membership/__init__.py
@@ -5,8 +5,9 @@
 """
 
 from ...protocol.heartbeats import HeartbeatStatus, MemberRecord, MemberState
-from .membership import Member, Membership, MembershipTiming
+from .membership import Membership, MembershipTiming
 from .presence import Presence
+from .view import Member
 
 __all__ = [
     "HeartbeatStatus",
--- /dev/null
+++ b/poplarward/coordination/membership/centres.py
@@ -0,0 +1,100 @@
+"""Finds out, as a delegate of a data centre, which others can be reached."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ...protocol import Connection, Peers
+from ...protocol.heartbeats import ProbeReply, ReachabilityReport
+from .assignment import delegates_of
+from .probing import Prober, Stalled
+from .reachability import Reachability
+from .spreading import Spreader
+from .table import MemberTable
+
+__all__ = ["DataCentreWatch"]
+
+
+class DataCentreWatch:
+    """Probes the delegates of other data centres and reports to its own.
+
+    Parameters
+    ----------
+    on_reply : callable
+        Called with each reply of a delegate.
+    on_change : callable
+        Called when a data centre was cut off or came back.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        table: MemberTable,
+        prober: Prober,
+        spreader: Spreader,
+        on_reply: Callable[[ProbeReply], None],
+        on_change: Callable[[], None],
+    ):
+        self.reachability = Reachability()
+        self._peers = peers
+        self._table = table
+        self._prober = prober
+        self._spreader = spreader
+        self._on_reply = on_reply
+        self._on_change = on_change
+        self._delegates: dict[str, list[str]] | None = None
+        peers.register(ReachabilityReport, self._on_report)
+
+    def clear(self) -> None:
+        """Work out the delegates again, after a change of the table."""
+        self._delegates = None
+
+    async def run(self, interval_ms: float) -> None:
+        """Watch until cancelled."""
+        own = self._peers.identity
+        while True:
+            await trio.sleep(interval_ms / 1000)
+            if self._delegates is None:
+                self._delegates = delegates_of(self._table.records.values())
+            speakers = self._delegates.get(own.data_centre, [])
+            if self.reachability.keep_reporters(speakers):
+                self._on_change()
+            if own.name in speakers:
+                await self._check_all(dict(self._delegates))
+
+    async def _check_all(self, delegates: dict[str, list[str]]) -> None:
+        async with trio.open_nursery() as nursery:
+            for data_centre, names in delegates.items():
+                if data_centre != self._peers.identity.data_centre:
+                    nursery.start_soon(self._check, data_centre, names)
+
+    async def _check(self, data_centre: str, names: list[str]) -> None:
+        answers = []
+        for name in names:
+            held = self._table.records.get(name)
+            if held is None:
+                continue
+            reply = await self._prober.probe(held)
+            if isinstance(reply, Stalled):
+                return
+            answers.append(reply is not None)
+            if reply is not None:
+                self._on_reply(reply)
+        await self._report(ReachabilityReport(data_centre, any(answers)))
+
+    async def _report(self, report: ReachabilityReport) -> None:
+        if self.reachability.note(self._peers.identity.name, report):
+            self._on_change()
+        came_back = self.reachability.was_cut_off(report.data_centre)
+        # Repeated while it is cut off, for hosts that start meanwhile.
+        if came_back or not report.is_reachable:
+            for record in self._spreader.near():
+                await self._spreader.notify(record.address, report)
+
+    async def _on_report(
+        self, connection: Connection, report: ReachabilityReport
+    ) -> None:
+        if self.reachability.note(connection.identity.name, report):
+            self._on_change()
--- a/poplarward/coordination/membership/membership.py
+++ b/poplarward/coordination/membership/membership.py
@@ -15,36 +15,27 @@
 
 import trio
 
-from ...protocol import Connection, Peers, ProcessIdentity
-from ...protocol.heartbeats import (
-    MemberRecord,
-    MemberState,
-    ReachabilityReport,
-)
+from ...protocol import Peers
+from ...protocol.heartbeats import MemberRecord, MemberState, ProbeReply
 from ...telemetry import get_logger
 from ...transport import Address
 from ..hosts import HostEntry
-from .assignment import delegates_of, watched_by
+from .assignment import watched_by
+from .centres import DataCentreWatch
 from .presence import Presence
 from .probing import Prober, Stalled
-from .reachability import Reachability
 from .spreading import Spreader
 from .table import MemberTable
+from .view import Member, MemberView, identity_of
 
-__all__ = ["Member", "Membership", "MembershipTiming"]
+__all__ = ["Membership", "MembershipTiming"]
 
 ASSIGN_INTERVAL_MS = 500.0
 ISOLATED_INTERVALS = 2.5
 
-log = get_logger("membership")
-
-
-class Member(NamedTuple):
-    """A process as the rest of the program sees it."""
+_MAY_LEAVE = (MemberState.LIVE, MemberState.SUSPECT)
 
-    identity: ProcessIdentity
-    state: MemberState
-    callers_address: str
+log = get_logger("membership")
 
 
 class MembershipTiming(NamedTuple):
@@ -98,41 +89,38 @@
         self._table = MemberTable()
         self._spreader = Spreader(peers, self._table, self._merge)
         self._prober = Prober(peers, presence, self._rng)
-        self._reachability = Reachability()
+        self._centres = DataCentreWatch(
+            peers,
+            self._table,
+            self._prober,
+            self._spreader,
+            self._note_reply,
+            self._changed,
+        )
+        self._view = MemberView(self._table, self._centres.reachability)
         self._watches: dict[str, trio.CancelScope] = {}
         self._needs_assignment = True
         self._answered_at = 0.0
-        self._not_live: dict[str, frozenset[str]] = {}
+        self._gone_at: dict[str, float] = {}
+        self._hosts_read: dict[str, HostEntry] = {}
         self._scope = trio.CancelScope()
         presence.table_digest = self._table.digest
-        peers.register(ReachabilityReport, self._on_reachability)
 
     def members(
         self, role: str | None = None, data_centre: str | None = None
     ) -> list[Member]:
         """Return the processes of a role and a data centre, in any state."""
-        return [
-            self._member(record)
-            for record in self._table.records.values()
-            if role in (None, record.role) and data_centre in (None, record.data_centre)
-        ]
+        return self._view.members(role, data_centre)
 
     def live(
         self, role: str | None = None, data_centre: str | None = None
     ) -> list[Member]:
         """Return the processes that may be given work."""
-        found = self.members(role, data_centre)
-        return [member for member in found if member.state is MemberState.LIVE]
+        return self._view.live(role, data_centre)
 
     def not_live(self, role: str) -> frozenset[str]:
         """Return the names of a role's processes that may not be given work."""
-        if role not in self._not_live:
-            self._not_live[role] = frozenset(
-                member.identity.name
-                for member in self.members(role)
-                if member.state is not MemberState.LIVE
-            )
-        return self._not_live[role]
+        return self._view.not_live(role)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to watch and to be watched."""
@@ -148,22 +136,6 @@
             await self._spreader.flush()
         self._scope.cancel()
 
-    def _member(self, record: MemberRecord) -> Member:
-        identity = ProcessIdentity(
-            record.role,
-            record.name,
-            record.start_id,
-            record.address,
-            record.data_centre,
-        )
-        state = record.state
-        if state is MemberState.LIVE and self._is_cut_off(record.data_centre):
-            state = MemberState.SUSPECT
-        return Member(identity, state, record.callers_address)
-
-    def _is_cut_off(self, data_centre: str) -> bool:
-        return data_centre in self._reachability.cut_off
-
     def _announce(self) -> None:
         record = self._presence.record()
         self._merge([record])
@@ -174,6 +146,8 @@
         for record in news:
             if record.name == self._peers.identity.name:
                 self._hear_of_self(record)
+            if record.state is MemberState.GONE:
+                self._gone_at[record.name] = trio.current_time()
             log.debug("member.changed", name=record.name, state=record.state)
         if news:
             self._needs_assignment = True
@@ -190,7 +164,8 @@
         self._spreader.publish([contradiction])
 
     def _changed(self) -> None:
-        self._not_live.clear()
+        self._view.clear()
+        self._centres.clear()
         for callback in self.on_change:
             callback()
 
@@ -198,9 +173,10 @@
         with self._scope:
             async with trio.open_nursery() as nursery:
                 await self._spreader.start(nursery)
-                nursery.start_soon(self._watch_data_centres)
+                nursery.start_soon(self._centres.run, self._timing.probe_interval_ms)
                 while True:
                     self._read_hosts()
+                    self._forget_gone()
                     if self._needs_assignment:
                         self._needs_assignment = False
                         self._assign(nursery)
@@ -208,15 +184,30 @@
 
     def _read_hosts(self) -> None:
         """Take over what only the platform's list says."""
+        hosts = {host.name: host for host in self._listed_hosts()}
         news = []
-        for host in self._listed_hosts():
+        for host in hosts.values():
             held = self._table.records.get(host.name)
             if held is None:
                 news.append(_record_of(host))
-            elif host.state == "leaving" and held.state is MemberState.LIVE:
+            elif host.state == "leaving" and held.state in _MAY_LEAVE:
                 news.append(held._replace(state=MemberState.LEAVING))
+        self._hosts_read = hosts
         self._spreader.publish(self._merge(news))
 
+    def _forget_gone(self) -> None:
+        """Drop processes that have been gone for long and are not listed."""
+        limit = trio.current_time() - self._timing.forget_ms / 1000
+        for name, gone_at in list(self._gone_at.items()):
+            held = self._table.records.get(name)
+            if held is None or held.state is not MemberState.GONE:
+                del self._gone_at[name]
+            elif gone_at < limit and name not in self._hosts_read:
+                del self._gone_at[name]
+                self._table.forget(name)
+                self._needs_assignment = True
+                self._changed()
+
     def _assign(self, nursery: trio.Nursery) -> None:
         """Begin and end watches as the entry hosts come and go."""
         name = self._peers.identity.name
@@ -233,15 +224,13 @@
             interval_s = self._timing.probe_interval_ms / 1000
             await trio.sleep(self._rng.uniform(0, interval_s))
             silent_since: float | None = None
-            while True:
-                held = self._table.records[name]
+            while (held := self._table.records.get(name)) is not None:
                 answered = await self._ask(held)
                 if answered:
                     silent_since = None
-                elif answered is False:
+                elif answered is False and not self._is_isolated():
                     silent_since = silent_since or trio.current_time()
-                    if self._judge_silence(held, silent_since):
-                        return
+                    self._judge_silence(held, silent_since)
                 await trio.sleep(self._rng.uniform(0.9, 1.1) * interval_s)
 
     async def _ask(self, held: MemberRecord) -> bool | None:
@@ -250,9 +239,7 @@
         if isinstance(reply, Stalled):
             return None
         if reply is not None:
-            self._learn(reply.record)
-            self._presence.note_status(_identity_of(reply.record), reply.status)
-            self._spreader.compare(held.name, held.address, reply.table_digest)
+            self._note_reply(reply)
             return True
         helpers = [r for r in self._spreader.near() if r.name != held.name]
         record = await self._prober.probe_through(held, helpers)
@@ -261,6 +248,12 @@
             return True
         return False
 
+    def _note_reply(self, reply: ProbeReply) -> None:
+        record = reply.record
+        self._learn(record)
+        self._presence.note_status(identity_of(record), reply.status)
+        self._spreader.compare(record.name, record.address, reply.table_digest)
+
     def _learn(self, record: MemberRecord) -> None:
         self._answered_at = trio.current_time()
         self._spread(record)
@@ -268,25 +261,17 @@
     def _spread(self, record: MemberRecord) -> None:
         self._spreader.publish(self._merge([record]))
 
-    def _judge_silence(self, held: MemberRecord, silent_since: float) -> bool:
-        """Suspect a silent process, then count it as gone; True once forgotten."""
-        if self._is_isolated():
-            return False
+    def _judge_silence(self, held: MemberRecord, silent_since: float) -> None:
+        """Suspect a silent process, then count it as gone."""
         silent_ms = (trio.current_time() - silent_since) * 1000
         if held.state is MemberState.GONE:
-            if silent_ms < self._timing.forget_ms or self._is_listed(held.name):
-                return False
-            self._watches.pop(held.name, None)
-            self._table.forget(held.name)
-            self._changed()
-            return True
+            return
         if silent_ms >= self._timing.suspect_ms:
             self._spread(held._replace(state=MemberState.GONE))
             log.info("member.gone", name=held.name)
         elif held.state is MemberState.LIVE:
             self._spread(held._replace(state=MemberState.SUSPECT))
             log.info("member.suspect", name=held.name)
-        return False
 
     def _is_isolated(self) -> bool:
         """Tell whether nobody answers, so that this host is the one cut off."""
@@ -294,49 +279,6 @@
         limit_ms = ISOLATED_INTERVALS * self._timing.probe_interval_ms
         return len(self._watches) > 1 and silent_ms > limit_ms
 
-    def _is_listed(self, name: str) -> bool:
-        return any(host.name == name for host in self._listed_hosts())
-
-    async def _watch_data_centres(self) -> None:
-        """As a delegate, find out which data centres can be reached."""
-        own = self._peers.identity
-        while True:
-            await trio.sleep(self._timing.probe_interval_ms / 1000)
-            delegates = delegates_of(self._table.records.values())
-            speakers = delegates.pop(own.data_centre, [])
-            self._reachability.keep_reporters(speakers)
-            if own.name not in speakers:
-                continue
-            async with trio.open_nursery() as nursery:
-                for data_centre, names in delegates.items():
-                    nursery.start_soon(self._check_reachable, data_centre, names)
-
-    async def _check_reachable(self, data_centre: str, names: list[str]) -> None:
-        answers = []
-        for name in names:
-            held = self._table.records[name]
-            reply = await self._prober.probe(held)
-            if isinstance(reply, Stalled):
-                return
-            answers.append(reply is not None)
-            if reply is not None:
-                self._learn(reply.record)
-                self._spreader.compare(name, held.address, reply.table_digest)
-        own = self._peers.identity
-        report = ReachabilityReport(data_centre, any(answers))
-        if self._reachability.note(own.name, report):
-            self._changed()
-        # Repeated while cut off, for hosts that start meanwhile.
-        if not report.is_reachable or self._reachability.was_cut_off(data_centre):
-            for record in self._spreader.near():
-                await self._spreader.notify(record.address, report)
-
-    async def _on_reachability(
-        self, connection: Connection, report: ReachabilityReport
-    ) -> None:
-        if self._reachability.note(connection.identity.name, report):
-            self._changed()
-
 
 def _record_of(host: HostEntry) -> MemberRecord:
     """Return the record of a process of which only the platform's list tells."""
@@ -350,9 +292,3 @@
         incarnation=0,
         state=MemberState(host.state),
     )
-
-
-def _identity_of(record: MemberRecord) -> ProcessIdentity:
-    return ProcessIdentity(
-        record.role, record.name, record.start_id, record.address, record.data_centre
-    )
--- a/poplarward/coordination/membership/reachability.py
+++ b/poplarward/coordination/membership/reachability.py
@@ -42,13 +42,15 @@
             counts[reporter] = counts.get(reporter, 0) + 1
         return self._update(report.data_centre)
 
-    def keep_reporters(self, reporters: Iterable[str]) -> None:
-        """Forget what hosts said that are no delegates any more."""
+    def keep_reporters(self, reporters: Iterable[str]) -> bool:
+        """Forget hosts that are no delegates any more; returns whether it matters."""
         kept = set(reporters)
+        changed = False
         for data_centre, counts in self._n_failures.items():
             for name in counts.keys() - kept:
                 del counts[name]
-            self._update(data_centre)
+            changed |= self._update(data_centre)
+        return changed
 
     def was_cut_off(self, data_centre: str) -> bool:
         """Tell once, after a data centre came back, that it had been cut off."""
--- a/poplarward/coordination/membership/table.py
+++ b/poplarward/coordination/membership/table.py
@@ -60,6 +60,9 @@
         news = []
         for record in records:
             held = self.records.get(record.name)
+            # Others may still remember a process that is forgotten here.
+            if held is None and record.state is MemberState.GONE:
+                continue
             if not is_newer(record, held):
                 continue
             if held is not None:
--- /dev/null
+++ b/poplarward/coordination/membership/view.py
@@ -0,0 +1,73 @@
+"""The processes as the rest of the program sees them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ...protocol import ProcessIdentity
+from ...protocol.heartbeats import MemberRecord, MemberState
+from .reachability import Reachability
+from .table import MemberTable
+
+__all__ = ["Member", "MemberView", "identity_of"]
+
+
+class Member(NamedTuple):
+    """A process and whether it may be given work."""
+
+    identity: ProcessIdentity
+    state: MemberState
+    callers_address: str
+
+
+def identity_of(record: MemberRecord) -> ProcessIdentity:
+    """Return the identity that a record tells of."""
+    return ProcessIdentity(
+        record.role, record.name, record.start_id, record.address, record.data_centre
+    )
+
+
+class MemberView:
+    """Answers questions about all processes, and keeps the answers until a change."""
+
+    def __init__(self, table: MemberTable, reachability: Reachability):
+        self._table = table
+        self._reachability = reachability
+        self._live: dict[tuple[str | None, str | None], list[Member]] = {}
+        self._not_live: dict[str, frozenset[str]] = {}
+
+    def clear(self) -> None:
+        """Drop the answers, after a change."""
+        self._live.clear()
+        self._not_live.clear()
+
+    def members(self, role: str | None, data_centre: str | None) -> list[Member]:
+        """Return the processes of a role and a data centre, in any state."""
+        return [
+            self._member(record)
+            for record in self._table.records.values()
+            if role in (None, record.role) and data_centre in (None, record.data_centre)
+        ]
+
+    def live(self, role: str | None, data_centre: str | None) -> list[Member]:
+        """Return the processes that may be given work."""
+        key = role, data_centre
+        if key not in self._live:
+            found = self.members(role, data_centre)
+            self._live[key] = [m for m in found if m.state is MemberState.LIVE]
+        return list(self._live[key])
+
+    def not_live(self, role: str) -> frozenset[str]:
+        """Return the names of the processes that may not be given work."""
+        if role not in self._not_live:
+            found = self.members(role, None)
+            names = [m.identity.name for m in found if m.state is not MemberState.LIVE]
+            self._not_live[role] = frozenset(names)
+        return self._not_live[role]
+
+    def _member(self, record: MemberRecord) -> Member:
+        state = record.state
+        is_cut_off = record.data_centre in self._reachability.cut_off
+        if state is MemberState.LIVE and is_cut_off:
+            state = MemberState.SUSPECT
+        return Member(identity_of(record), state, record.callers_address)
--- a/tests/coordination/membership/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from poplarward.coordination.hosts import HostEntry
 from poplarward.coordination.membership import HeartbeatStatus, MemberState
 from tests.coordination.membership.fleet import Fleet
 
@@ -113,6 +114,12 @@
         listed = fleet.listed["agent-rennes-0"]
         fleet.listed["agent-rennes-0"] = listed._replace(state="leaving")
         await fleet.wait_until(lambda: fleet.views_of("agent-rennes-0") == {LEAVING}, 2)
+        # A restart of the process does not undo what the list says.
+        fleet.hosts["agent-rennes-0"].scope.cancel()
+        await trio.sleep(0.5)
+        await fleet.add("agent-rennes-0", "agent", "rennes", n_start=7, listed=False)
+        await trio.sleep(4)
+        assert fleet.views_of("agent-rennes-0") == {LEAVING}
 
 
 async def test_new_process_is_known_before_the_list_has_it(autojump_clock):
@@ -133,3 +140,25 @@
         await trio.sleep(3)
         told = {status for who, status in heard if who.name == "agent-brest-0"}
         assert told == {HeartbeatStatus(b"digest", 41)}
+
+
+async def test_one_entry_host_that_read_the_list_tells_all(autojump_clock):
+    async with start_fleet() as fleet:
+        reader = fleet.hosts["entry-rennes-1"]
+        new = await fleet.add("agent-brest-9", "agent", "brest", listed=False)
+        listed = HostEntry(new.name, "agent", "brest", "live", f"{new.ip}:9000")
+        reader.membership._listed_hosts = lambda: [listed]
+        await fleet.wait_until(lambda: fleet.views_of(new.name) == {LIVE}, 2)
+
+
+async def test_process_gone_for_long_is_forgotten_everywhere(autojump_clock):
+    async with start_fleet() as fleet:
+        name = "agent-brest-0"
+        fleet.hosts[name].scope.cancel()
+        await fleet.wait_until(lambda: fleet.views_of(name) == {GONE}, 15)
+        await trio.sleep(65)
+        assert fleet.views_of(name) == {GONE}
+        del fleet.listed[name]
+        await fleet.wait_until(lambda: fleet.views_of(name) == {None}, 10)
+        await trio.sleep(20)
+        assert fleet.views_of(name) == {None}
