TLS on every listener, mutual between processes; check settings' files

Cause: the settings had TLS sections that no listener used, and a missing file was found only when a process started.

Ruled out: trust by the shared secret alone (it crosses the network in clear text); checking host names in place of IP numbers (processes talk by IP number).

Seen failing first, each with the code broken on purpose: clients without a certificate accepted, peers_tls without an authority accepted, outgoing connections without TLS.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -80,6 +80,7 @@
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     host_list_lag_ms: int = 200
+    tls_sections: dict[str, dict[str, Any]] = field(default_factory=dict)
     profile_directory: str = ""
 
     async def __aenter__(self) -> Deployment:
@@ -148,6 +149,7 @@
             "platform_url": self.platform_url,
             "peer_secret": PEER_SECRET,
             "operator_tokens": {"demo": OPERATOR_TOKEN},
+            **self.tls_sections.get("entry", {}),
         }
         await self.list_host(name)
         return await self.restart(name)
@@ -176,6 +178,7 @@
                 "url": url,
                 "n_slots": n_slots,
             },
+            **self.tls_sections.get("agent", {}),
         }
         await self.list_host(name)
         return await self.restart(name)
--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -29,9 +29,9 @@
 from ..requests import Executor, UpstreamSettings
 from ..state import ConfigurationView, HttpObjectStore
 from ..telemetry import get_logger
-from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import AgentSettings
+from .settings import AgentSettings, peers_network, tls_files
 from .startup import load, wait_for_stop
 
 __all__ = ["main"]
@@ -61,7 +61,7 @@
         section["url"],
         section["n_slots"],
     )
-    peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
+    peers = Peers(peers_network(settings), identity, settings["peer_secret"])
     store = HttpObjectStore(settings["platform_url"])
     configuration = ConfigurationSync(peers, store, ConfigurationView())
     executor = Executor(peers, upstream)
@@ -76,6 +76,7 @@
             serve_http,
             asgi_application(monitoring.handle),
             Address.parse(settings["metrics_listen"]),
+            tls_files(settings, "metrics_tls"),
         )
         log.info("agent.started", name=settings["name"], upstream=upstream.name)
         await wait_for_stop(lambda: executor.n_attempts)
--- a/poplarward/programs/ctl.py
+++ b/poplarward/programs/ctl.py
@@ -23,6 +23,8 @@
                         environment's POPLARWARD_SERVER.
   --token TOKEN         The operator's credential; without it, the environment's
                         POPLARWARD_TOKEN.
+  --authority FILE      Certificates, as PEM, that an https server must be signed by;
+                        without it, the environment's POPLARWARD_AUTHORITY.
   --json                Print JSON, one document a reply, instead of tables.
   --expected-version N  Version that the change replaces [default: 0].
   --validate-only       Check the change and apply nothing.
@@ -53,6 +55,7 @@
 from connectrpc.errors import ConnectError
 from docopt import DocoptExit, docopt
 from google.protobuf.json_format import Parse, ParseError
+from pyqwest import SyncClient, SyncHTTPTransport
 
 from .. import __version__
 from ..protocol.generated.poplarward.v1 import operations_pb2 as pb
@@ -109,7 +112,8 @@
         if not server or not token:
             raise _UsageError("--server and --token, or POPLARWARD_SERVER and _TOKEN")
         self._headers = {"authorization": f"Bearer {token}"}
-        self._client = OperationsClientSync(server)
+        authority = arguments["--authority"] or os.environ.get("POPLARWARD_AUTHORITY")
+        self._client = OperationsClientSync(server, http_client=_client(authority))
 
     def replies(self) -> Iterator[Any]:
         """Yield the replies; more than one only for a watch."""
@@ -141,6 +145,13 @@
         return call(request, headers=self._headers, timeout_ms=CALL_TIMEOUT_MS)
 
 
+def _client(authority: str | None) -> SyncClient | None:
+    if not authority:
+        return None
+    certificates = _read_file(authority).encode()
+    return SyncClient(SyncHTTPTransport(tls_ca_cert=certificates))
+
+
 _METHODS = {
     pb.ApplyRequest: "apply",
     pb.DeleteRequest: "delete",
@@ -219,10 +230,17 @@
 
 def _read_resource(path: str) -> pb.Resource:
     try:
-        return Parse(Path(path).read_text(encoding="utf-8"), pb.Resource())
+        return Parse(_read_file(path), pb.Resource())
+    except ParseError as error:
+        raise _UsageError(f"{path}: {error}") from None
+
+
+def _read_file(path: str) -> str:
+    try:
+        return Path(path).read_text(encoding="utf-8")
     except OSError as error:
         raise _UsageError(f"{path}: {error.strerror}") from None
-    except (ParseError, UnicodeDecodeError) as error:
+    except UnicodeDecodeError as error:
         raise _UsageError(f"{path}: {error}") from None
 
 
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -40,9 +40,9 @@
 )
 from ..state import ConfigurationView, HttpObjectStore
 from ..telemetry import RequestMetrics, get_logger
-from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import EntrySettings
+from .settings import EntrySettings, peers_network, tls_files
 from .startup import load, wait_for_stop
 
 __all__ = ["main"]
@@ -70,7 +70,7 @@
     store = HttpObjectStore(settings["platform_url"])
     hosts = HostList(settings["platform_url"])
     view = ConfigurationView()
-    peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
+    peers = Peers(peers_network(settings), identity, settings["peer_secret"])
     configuration = ConfigurationSync(peers, store, view, ListedMembers(hosts))
     agents = AgentTable(peers)
     relay = Relay(peers)
@@ -94,17 +94,20 @@
                 serve_http,
                 asgi_application(monitoring.handle),
                 Address.parse(settings["metrics_listen"]),
+                tls_files(settings, "metrics_tls"),
             )
         await configuration.ready.wait()
         await nursery.start(
             serve_http,
             asgi_application(gateway.handle),
             Address.parse(settings["callers_listen"]),
+            tls_files(settings, "callers_tls"),
         )
         await nursery.start(
             serve_http,
             operations_application(operations, settings["operator_tokens"]),
             Address.parse(settings["operators_listen"]),
+            tls_files(settings, "operators_tls"),
         )
         log.info("entry.started", name=settings["name"], revision=view.revision)
         await wait_for_stop(lambda: gateway.n_open)
--- a/poplarward/programs/settings.py
+++ b/poplarward/programs/settings.py
@@ -10,8 +10,17 @@
 from typing_extensions import TypedDict
 
 from ..errors import Finding, FindingsError
+from ..transport import TlsFiles, WebSocketNetwork, client_context, server_context
+from .settings_checks import settings_findings
 
-__all__ = ["AgentSettings", "EntrySettings", "TlsSettings", "read_settings"]
+__all__ = [
+    "AgentSettings",
+    "EntrySettings",
+    "TlsSettings",
+    "peers_network",
+    "read_settings",
+    "tls_files",
+]
 
 
 @with_config({"extra": "forbid"})
@@ -39,6 +48,7 @@
     peer_secret: str
     operator_tokens: dict[str, str]
     metrics_listen: NotRequired[str]
+    metrics_tls: NotRequired[TlsSettings]
     callers_tls: NotRequired[TlsSettings]
     operators_tls: NotRequired[TlsSettings]
     peers_tls: NotRequired[TlsSettings]
@@ -66,6 +76,7 @@
     platform_url: str
     peer_secret: str
     upstream: UpstreamSection
+    metrics_tls: NotRequired[TlsSettings]
     peers_tls: NotRequired[TlsSettings]
     log_level: NotRequired[Literal["debug", "info", "warning", "error"]]
 
@@ -83,7 +94,7 @@
     except ValueError as error:
         raise FindingsError([Finding(path, str(error), "JSON")]) from None
     try:
-        return TypeAdapter(schema).validate_python(document)
+        settings = TypeAdapter(schema).validate_python(document)
     except ValidationError as error:
         findings = [
             Finding(
@@ -94,3 +105,20 @@
             for item in error.errors()
         ]
         raise FindingsError(findings) from None
+    findings = list(settings_findings(path, settings))
+    if findings:
+        raise FindingsError(findings)
+    return settings
+
+
+def tls_files(settings: Any, section: str) -> TlsFiles | None:
+    """Return the files of a TLS section, None if it is left out."""
+    return TlsFiles(**settings[section]) if section in settings else None
+
+
+def peers_network(settings: Any) -> WebSocketNetwork:
+    """Return the network between the processes; mutual TLS if it is set."""
+    files = tls_files(settings, "peers_tls")
+    if files is None:
+        return WebSocketNetwork()
+    return WebSocketNetwork(client_context(files), server_context(files))
--- a/poplarward/programs/startup.py
+++ b/poplarward/programs/startup.py
@@ -34,10 +34,10 @@
         for finding in error.findings:
             print(finding, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    configure_logs(program, settings.get("log_level", "info"))  # type: ignore[attr-defined]
     if arguments["--check"]:
         print("settings are valid")
         return None
+    configure_logs(program, settings.get("log_level", "info"))  # type: ignore[attr-defined]
     return settings
 
 
--- a/poplarward/transport/__init__.py
+++ b/poplarward/transport/__init__.py
@@ -10,11 +10,11 @@
 from .http_server import (
     HttpRequest,
     Responder,
-    TlsFiles,
     asgi_application,
     serve_http,
 )
 from .memory import LinkFaults, MemoryNetwork
+from .tls import TlsFiles, client_context, server_context
 from .websocket import WebSocketNetwork
 
 __all__ = [
@@ -31,5 +31,7 @@
     "TlsFiles",
     "WebSocketNetwork",
     "asgi_application",
+    "client_context",
     "serve_http",
+    "server_context",
 ]
--- a/poplarward/transport/http_server.py
+++ b/poplarward/transport/http_server.py
@@ -6,7 +6,7 @@
 import ssl
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, NamedTuple
+from typing import Any
 from urllib.parse import parse_qs
 
 import trio
@@ -16,11 +16,11 @@
 from ..errors import BodyTooLarge, CallerGone
 from ..telemetry import get_logger
 from .channels import Address
+from .tls import TlsFiles
 
 __all__ = [
     "HttpRequest",
     "Responder",
-    "TlsFiles",
     "asgi_application",
     "serve_http",
 ]
@@ -33,22 +33,6 @@
 Headers = list[tuple[str, str]]
 
 
-class TlsFiles(NamedTuple):
-    """Paths of the PEM files of a listener.
-
-    Attributes
-    ----------
-    certificate, key : str
-        The listener's certificate chain and private key.
-    authority : str
-        Certificates that peers must be signed by; empty if none is asked for.
-    """
-
-    certificate: str
-    key: str
-    authority: str = ""
-
-
 @dataclass
 class HttpRequest:
     """A request that a listener received; its body is not read yet.
--- /dev/null
+++ b/poplarward/transport/tls.py
@@ -0,0 +1,46 @@
+"""Contexts of TLS for the connections between the system's processes."""
+
+from __future__ import annotations
+
+import ssl
+from typing import NamedTuple
+
+__all__ = ["TlsFiles", "client_context", "server_context"]
+
+
+class TlsFiles(NamedTuple):
+    """Paths of PEM files.
+
+    Attributes
+    ----------
+    certificate, key : str
+        The own certificate chain and private key.
+    authority : str
+        Certificates that the other end must be signed by; empty if it need not show
+        one.
+    """
+
+    certificate: str
+    key: str
+    authority: str = ""
+
+
+def server_context(files: TlsFiles) -> ssl.SSLContext:
+    """Return a context that accepts clients signed by the authority."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(files.certificate, files.key)
+    if files.authority:
+        context.load_verify_locations(files.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def client_context(files: TlsFiles) -> ssl.SSLContext:
+    """Return a context that shows the own certificate and checks the server's.
+
+    The server's certificate must name the IP number that is connected to.
+    """
+    authority = files.authority or None
+    context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=authority)
+    context.load_cert_chain(files.certificate, files.key)
+    return context
--- a/poplarward/transport/websocket.py
+++ b/poplarward/transport/websocket.py
@@ -78,7 +78,12 @@
         )
         try:
             connection = await opening.__aenter__()
-        except (OSError, WebSocketException, TimeoutError) as error:
+        except (
+            OSError,
+            WebSocketException,
+            TimeoutError,
+            trio.BrokenResourceError,
+        ) as error:
             raise PeerUnreachable(f"{address}: {error}") from error
         try:
             yield _WebSocketChannel(connection)
