Show leases in the status; name no drained hosts

Cause: GetStatus had no leases and took the store for reachable unless this host's own watch had failed, which tells nothing on hosts that hold none. A drained host was marked as such, but still named to callers and routed to.

Change: the status lists the leases with one read of the store, which also tells whether it is reachable. A host that an operator drains counts as leaving, like one that the platform lists so: entry hosts are not named to callers, agents get no new work.

--- a/benchmarks/configuration_fleet.py
+++ b/benchmarks/configuration_fleet.py
@@ -1,7 +1,7 @@
 """Entry hosts and agents that spread a configuration, in memory, with faults.
 
 Used by the configuration's tests and benchmark. Time is the caller's: with trio's
-mock clock, hours of faults pass in seconds and alike on every run.
+mock clock, long faults pass in seconds.
 """
 
 from __future__ import annotations
--- a/poplarward/coordination/__init__.py
+++ b/poplarward/coordination/__init__.py
@@ -7,7 +7,7 @@
 
 from .configuration import ConfigurationSync, ListedMembers
 from .fencing import FenceGuard, FenceKeeper
-from .hosts import HostEntry, HostList
+from .hosts import HostEntry, HostList, is_leaving
 from .leases import Lease, LeaseTiming
 from .roles import ControlRoles
 
@@ -21,4 +21,5 @@
     "Lease",
     "LeaseTiming",
     "ListedMembers",
+    "is_leaving",
 ]
--- a/poplarward/coordination/configuration/sync.py
+++ b/poplarward/coordination/configuration/sync.py
@@ -64,8 +64,6 @@
     ----------
     ready : trio.Event
         Set once the configuration may be relied on.
-    is_store_reachable : bool
-        Whether the object API answered this process's last call.
     """
 
     def __init__(
@@ -90,11 +88,6 @@
         self._scope = trio.CancelScope()
         peers.register(ConfigurationDelta, self._on_delta)
 
-    @property
-    def is_store_reachable(self) -> bool:
-        """Whether the object API answered this process's last call."""
-        return not self._reader.has_failed
-
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow and to pass on."""
         self.publisher.start(nursery)
--- a/poplarward/coordination/hosts.py
+++ b/poplarward/coordination/hosts.py
@@ -10,10 +10,11 @@
 from pydantic import TypeAdapter, ValidationError
 
 from ..errors import UpstreamUnreachable
+from ..state import DRAIN_KIND, ConfigurationView
 from ..telemetry import get_logger
 from ..transport import Address, HttpClient
 
-__all__ = ["HostEntry", "HostList"]
+__all__ = ["HostEntry", "HostList", "is_leaving"]
 
 POLL_INTERVAL_MS = 1000.0
 
@@ -57,6 +58,11 @@
 _HOSTS = TypeAdapter(list[HostEntry])
 
 
+def is_leaving(host: HostEntry, view: ConfigurationView) -> bool:
+    """Tell whether a host gets no new work, by the platform or by an operator."""
+    return host.state == "leaving" or view.get(DRAIN_KIND, host.name) is not None
+
+
 class HostList:
     """The last list of hosts that the platform gave.
 
--- a/poplarward/operations/status.py
+++ b/poplarward/operations/status.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
 from ..coordination import ConfigurationSync, HostList, ListedMembers
 from ..coordination.configuration import Rollout, gather_revisions, gather_rollout
+from ..coordination.leases import LEASES_KIND, fence_of
+from ..errors import StoreUnavailable
 from ..protocol import Peers
 from ..protocol.generated.poplarward.v1 import operations_pb2 as pb
-from ..state import DRAIN_KIND, FREEZE_KIND, ConfigurationView
+from ..state import (
+    DRAIN_KIND,
+    FREEZE_KIND,
+    ConfigurationView,
+    ObjectStore,
+    StoredObject,
+)
 
 __all__ = ["DeploymentStatus", "GroupState", "RebalanceControl", "StatusSource"]
 
@@ -76,8 +84,8 @@
         What is in force here.
     hosts : HostList
         The platform's list of hosts.
-    leases : callable
-        Returns name, holder and fencing number of the leases known here.
+    store : ObjectStore
+        Holds the leases; read once a call.
     rebalancing : RebalanceControl, optional
         Knows the model groups.
     """
@@ -88,7 +96,7 @@
         configuration: ConfigurationSync,
         view: ConfigurationView,
         hosts: HostList,
-        leases: Callable[[], Sequence[tuple[str, str, int]]] = tuple,
+        store: ObjectStore,
         rebalancing: RebalanceControl | None = None,
     ):
         self._peers = peers
@@ -96,7 +104,7 @@
         self._view = view
         self._hosts = hosts
         self._members = ListedMembers(hosts)
-        self._leases = leases
+        self._store = store
         self._rebalancing = rebalancing
 
     def knows_host(self, name: str) -> bool:
@@ -114,14 +122,16 @@
         revisions = await gather_revisions(
             self._peers, self._configuration.publisher, self._members
         )
+        try:
+            _, leases = await self._store.list(LEASES_KIND)
+            store_reachable = True
+        except StoreUnavailable:
+            leases, store_reachable = [], False
         return pb.GetStatusResponse(
             revision_in_force=self._view.revision,
-            store_reachable=self._configuration.is_store_reachable,
+            store_reachable=store_reachable,
             hosts=self._host_messages(revisions),
-            leases=[
-                pb.LeaseStatus(name=name, holder=holder, fencing_number=number)
-                for name, holder, number in self._leases()
-            ],
+            leases=[_lease_message(lease) for lease in leases],
             groups=self._group_messages(),
         )
 
@@ -151,3 +161,9 @@
             )
             for group in groups
         ]
+
+
+def _lease_message(lease: StoredObject) -> pb.LeaseStatus:
+    return pb.LeaseStatus(
+        name=lease.name, holder=lease.spec["holder"], fencing_number=fence_of(lease)
+    )
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -21,7 +21,7 @@
 
 import trio
 
-from ..coordination import ConfigurationSync, HostList, ListedMembers
+from ..coordination import ConfigurationSync, HostList, ListedMembers, is_leaving
 from ..operations import (
     DeploymentStatus,
     OperationsService,
@@ -74,7 +74,7 @@
     relay = Relay(peers)
     router = Router(
         agents,
-        leaving=lambda: _leaving(hosts),
+        leaving=lambda: _leaving(hosts, view),
         data_centre=settings["data_centre"],
         far_cost_requests=settings.get("far_cost_requests", 0.0),
     )
@@ -82,12 +82,12 @@
     attempts = AttemptLoop(peers, relay, router)
     metrics = RequestMetrics()
     gateway = Gateway(
-        view, Admission(), attempts, lambda: _entry_addresses(hosts), metrics
+        view, Admission(), attempts, lambda: _entry_addresses(hosts, view), metrics
     )
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
-    status = DeploymentStatus(peers, configuration, view, hosts)
+    status = DeploymentStatus(peers, configuration, view, hosts, store)
     operations = OperationsService(store, view, status)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
@@ -122,9 +122,9 @@
         nursery.cancel_scope.cancel()
 
 
-def _leaving(hosts: HostList) -> set[str]:
-    """Return the agents that the platform's list names as leaving."""
-    return {h.name for h in hosts.with_role("agent") if h.state == "leaving"}
+def _leaving(hosts: HostList, view: ConfigurationView) -> set[str]:
+    """Return the agents that the platform or an operator names as leaving."""
+    return {h.name for h in hosts.with_role("agent") if is_leaving(h, view)}
 
 
 def _missing(
@@ -139,11 +139,11 @@
     return missing
 
 
-def _entry_addresses(hosts: HostList) -> list[Address]:
+def _entry_addresses(hosts: HostList, view: ConfigurationView) -> list[Address]:
     return [
         Address.parse(host.callers_address)
         for host in hosts.with_role("entry")
-        if host.state == "live"
+        if not is_leaving(host, view)
     ]
 
 
--- a/tests/programs/test_operator_session.py
+++ b/tests/programs/test_operator_session.py
@@ -141,7 +141,7 @@
         role, name, _, address, data_centre = process.identity
         hosts.hosts[name] = HostEntry(name, role, data_centre, "live", str(address))
     entry = fleet.processes["entry-0"]
-    status = DeploymentStatus(entry.peers, entry.sync, entry.view, hosts)
+    status = DeploymentStatus(entry.peers, entry.sync, entry.view, hosts, fleet.store)
     service = OperationsService(fleet.store, entry.view, status)
     application = operations_application(service, {"lea": "token"})
     address = await nursery.start(
