--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -1,7 +1,8 @@
 """Measures how a change of the configuration comes in force.
 
 Time is virtual: it counts the delays of links and store, not processor time, which
-is measured beside it. Both are alike for a seed but for the processor time.
+is measured beside it. The seed fixes changes, faults and delays; trio runs tasks that
+are ready at the same moment in any order, which moves times by some milliseconds.
 
 Usage:
   configuration [options]
