Fuzz the decoders of every message between processes

Cause: the test drew from a fixed list of tags, of which only those whose modules happened to be imported were known; the configuration's were missing.

Change: every tag that the message modules declare is drawn, in 200 examples in place of 50.

--- a/tests/protocol/test_peers.py
+++ b/tests/protocol/test_peers.py
@@ -5,11 +5,20 @@
 import cbor2
 import pytest
 import trio
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from poplarward.errors import ChannelClosed, DecodeError, PeerTimeout, PeerUnreachable
-from poplarward.protocol import Peers, ProcessIdentity, decode, message
+from poplarward.protocol import (
+    Peers,
+    ProcessIdentity,
+    codec,
+    configuration,
+    decode,
+    message,
+    reports,
+    requests,
+)
 from poplarward.protocol.peers import CallRefused
 from poplarward.transport import Address, LinkFaults, MemoryNetwork, WebSocketNetwork
 
@@ -114,7 +123,16 @@
         decode(data)
 
 
-@given(st.sampled_from([1, 10, 12, 13, 20, 9_001]), st.lists(_cbor_values, max_size=12))
+TAGS = [1, 9_001] + sorted(
+    tag
+    for tag, declared in codec._classes.items()
+    if declared.__module__
+    in (configuration.__name__, reports.__name__, requests.__name__)
+)
+
+
+@settings(max_examples=200)
+@given(st.sampled_from(TAGS), st.lists(_cbor_values, max_size=12))
 def test_any_fields_are_a_message_or_refused(tag, values):
     with contextlib.suppress(DecodeError):
         decode(cbor2.dumps([tag, *values]))
