--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -136,7 +136,9 @@
         await self.wait_for_event(process, "standin.started")
         return process
 
-    async def start_entry(self, name: str, data_centre: str) -> ManagedProcess:
+    async def start_entry(
+        self, name: str, data_centre: str, **more_settings: Any
+    ) -> ManagedProcess:
         """Start an entry host, list it, and wait until it serves."""
         host = self.new_host()
         self.settings[name] = {
@@ -150,6 +152,7 @@
             "peer_secret": PEER_SECRET,
             "operator_tokens": {"demo": OPERATOR_TOKEN},
             **self.tls_sections.get("entry", {}),
+            **more_settings,
         }
         await self.list_host(name)
         return await self.restart(name)
--- a/poplarward/coordination/__init__.py
+++ b/poplarward/coordination/__init__.py
@@ -5,11 +5,12 @@
 holds, by leases; a `FenceGuard` refuses the orders of a former holder.
 """
 
-from .configuration import ConfigurationSync, ListedMembers
+from .configuration import ConfigurationSync
 from .fencing import FenceGuard, FenceKeeper
-from .hosts import HostEntry, HostList, is_leaving
+from .hosts import HostEntry, HostList
 from .leases import Lease, LeaseTiming
-from .roles import ControlRoles
+from .membership import Membership, Presence
+from .roles import ControlRoles, map_role
 
 __all__ = [
     "ConfigurationSync",
@@ -20,6 +21,7 @@
     "HostList",
     "Lease",
     "LeaseTiming",
-    "ListedMembers",
-    "is_leaving",
+    "Membership",
+    "Presence",
+    "map_role",
 ]
--- a/poplarward/coordination/configuration/__init__.py
+++ b/poplarward/coordination/configuration/__init__.py
@@ -6,14 +6,12 @@
 force.
 """
 
-from .members import ListedMembers, LiveMember, MembersView
+from .members import MembersView
 from .rollout import Rollout, gather_revisions, gather_rollout
 from .sync import ConfigurationSync
 
 __all__ = [
     "ConfigurationSync",
-    "ListedMembers",
-    "LiveMember",
     "MembersView",
     "Rollout",
     "gather_revisions",
--- a/poplarward/coordination/configuration/sync.py
+++ b/poplarward/coordination/configuration/sync.py
@@ -16,6 +16,7 @@
     ConfigurationUnchanged,
     SnapshotChunk,
 )
+from ...protocol.heartbeats import MemberState
 from ...protocol.peers import CallRefused
 from ...state import ConfigurationView, ObjectStore
 from ...telemetry import get_logger
@@ -132,6 +133,15 @@
             entries.append(own)
         return entries
 
+    def _n_known_entries(self) -> int:
+        """Return how many other entry hosts there are, live or suspect."""
+        members = self._members.members("entry") if self._members else []
+        return sum(
+            member.state is not MemberState.GONE
+            and member.identity.name != self._identity.name
+            for member in members
+        )
+
     async def _pull_regularly(self) -> None:
         rng = self._rng("pulls")
         for number in itertools.count():
@@ -174,7 +184,8 @@
         async with trio.open_nursery() as nursery:
             for name in list(others)[: 2 * N_WITNESSES]:
                 nursery.start_soon(self._pull, others[name], False)
-        n_needed = min(N_WITNESSES, len(others))
+        # Entry hosts that are suspect may hold more than those that answer.
+        n_needed = min(N_WITNESSES, max(len(others), self._n_known_entries()))
         if n_needed and self._reader.has_failed and len(self._witnesses) >= n_needed:
             self._note_ready("peers")
 
--- a/poplarward/coordination/hosts.py
+++ b/poplarward/coordination/hosts.py
@@ -10,11 +10,10 @@
 from pydantic import TypeAdapter, ValidationError
 
 from ..errors import UpstreamUnreachable
-from ..state import DRAIN_KIND, ConfigurationView
 from ..telemetry import get_logger
 from ..transport import Address, HttpClient
 
-__all__ = ["HostEntry", "HostList", "is_leaving"]
+__all__ = ["HostEntry", "HostList"]
 
 POLL_INTERVAL_MS = 1000.0
 
@@ -58,11 +57,6 @@
 _HOSTS = TypeAdapter(list[HostEntry])
 
 
-def is_leaving(host: HostEntry, view: ConfigurationView) -> bool:
-    """Tell whether a host gets no new work, by the platform or by an operator."""
-    return host.state == "leaving" or view.get(DRAIN_KIND, host.name) is not None
-
-
 class HostList:
     """The last list of hosts that the platform gave.
 
@@ -79,6 +73,10 @@
         self.on_change: list[Callable[[], None]] = []
         self._client = HttpClient(base_url, n_connections=2)
 
+    def hosts_now(self) -> list[HostEntry]:
+        """Return the hosts of the last list."""
+        return list(self.hosts.values())
+
     def with_role(self, role: str) -> list[HostEntry]:
         """Return the hosts of a role, ordered by name."""
         found = [host for host in self.hosts.values() if host.role == role]
--- a/poplarward/operations/status.py
+++ b/poplarward/operations/status.py
@@ -5,9 +5,15 @@
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
-from ..coordination import ConfigurationSync, HostList, ListedMembers
-from ..coordination.configuration import Rollout, gather_revisions, gather_rollout
+from ..coordination import ConfigurationSync
+from ..coordination.configuration import (
+    MembersView,
+    Rollout,
+    gather_revisions,
+    gather_rollout,
+)
 from ..coordination.leases import LEASES_KIND, fence_of
+from ..coordination.membership import Member
 from ..errors import StoreUnavailable
 from ..protocol import Peers
 from ..protocol.generated.poplarward.v1 import operations_pb2 as pb
@@ -67,7 +73,7 @@
         ...
 
     def knows_host(self, name: str) -> bool:
-        """Tell whether a host is on the platform's list."""
+        """Tell whether a host is known."""
         ...
 
 
@@ -82,8 +88,8 @@
         Knows what is in force below this process.
     view : ConfigurationView
         What is in force here.
-    hosts : HostList
-        The platform's list of hosts.
+    members : MembersView
+        The processes of the deployment.
     store : ObjectStore
         Holds the leases; read once a call.
     rebalancing : RebalanceControl, optional
@@ -95,21 +101,20 @@
         peers: Peers,
         configuration: ConfigurationSync,
         view: ConfigurationView,
-        hosts: HostList,
+        members: MembersView,
         store: ObjectStore,
         rebalancing: RebalanceControl | None = None,
     ):
         self._peers = peers
         self._configuration = configuration
         self._view = view
-        self._hosts = hosts
-        self._members = ListedMembers(hosts)
+        self._members = members
         self._store = store
         self._rebalancing = rebalancing
 
     def knows_host(self, name: str) -> bool:
-        """Tell whether a host is on the platform's list."""
-        return name in self._hosts.hosts
+        """Tell whether a host is known."""
+        return any(member.identity.name == name for member in self._members.members())
 
     async def rollout(self, revision: int) -> Rollout:
         """Return how far a revision has come."""
@@ -138,14 +143,14 @@
     def _host_messages(self, revisions: dict[str, int]) -> list[pb.HostStatus]:
         return [
             pb.HostStatus(
-                name=host.name,
-                role=host.role,
-                data_centre=host.data_centre,
-                state=host.state,
-                revision_in_force=revisions.get(host.name, 0),
-                draining=self._view.get(DRAIN_KIND, host.name) is not None,
+                name=member.identity.name,
+                role=member.identity.role,
+                data_centre=member.identity.data_centre,
+                state=str(member.state),
+                revision_in_force=revisions.get(member.identity.name, 0),
+                draining=self._view.get(DRAIN_KIND, member.identity.name) is not None,
             )
-            for host in sorted(self._hosts.hosts.values())
+            for member in sorted(self._members.members(), key=_name_of)
         ]
 
     def _group_messages(self) -> list[pb.GroupStatus]:
@@ -163,6 +168,10 @@
         ]
 
 
+def _name_of(member: Member) -> str:
+    return member.identity.name
+
+
 def _lease_message(lease: StoredObject) -> pb.LeaseStatus:
     return pb.LeaseStatus(
         name=lease.name, holder=lease.spec["holder"], fencing_number=fence_of(lease)
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -21,7 +21,15 @@
 
 import trio
 
-from ..coordination import ConfigurationSync, HostList, ListedMembers, is_leaving
+from ..coordination import (
+    ConfigurationSync,
+    ControlRoles,
+    HostList,
+    LeaseTiming,
+    Membership,
+    Presence,
+    map_role,
+)
 from ..operations import (
     DeploymentStatus,
     OperationsService,
@@ -38,7 +46,7 @@
     Relay,
     Router,
 )
-from ..state import ConfigurationView, HttpObjectStore
+from ..state import ConfigurationView, HttpObjectStore, Writer, drained_hosts
 from ..telemetry import RequestMetrics, get_logger
 from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
@@ -47,6 +55,9 @@
 
 __all__ = ["main"]
 
+LEASE_LENGTH_MS = 6000.0
+RELEASE_TIMEOUT_S = 2.0
+
 log = get_logger("entry")
 
 
@@ -69,12 +80,22 @@
     hosts = HostList(settings["platform_url"])
     view = ConfigurationView()
     peers = Peers(peers_network(settings), identity, settings["peer_secret"])
-    configuration = ConfigurationSync(peers, store, view, ListedMembers(hosts))
+    presence = Presence(peers, settings["callers_listen"])
+    membership = Membership(peers, presence, hosts.hosts_now, seed=identity.start_id)
+    roles = ControlRoles(
+        store,
+        Writer(store, identity.start_id),
+        identity,
+        lambda: [member.identity.name for member in membership.live("entry")],
+        lambda: [map_role(name) for name, _ in view.specs("modelgroups")],
+        LeaseTiming.of_length(settings.get("lease_length_ms", LEASE_LENGTH_MS)),
+    )
+    configuration = ConfigurationSync(peers, store, view, membership)
     agents = AgentTable(peers)
     relay = Relay(peers)
     router = Router(
         agents,
-        leaving=lambda: _leaving(hosts, view),
+        leaving=lambda: membership.not_live("agent") | drained_hosts(view),
         data_centre=settings["data_centre"],
         far_cost_requests=settings.get("far_cost_requests", 0.0),
     )
@@ -82,17 +103,23 @@
     attempts = AttemptLoop(peers, relay, router)
     metrics = RequestMetrics()
     gateway = Gateway(
-        view, Admission(), attempts, lambda: _entry_addresses(hosts, view), metrics
+        view,
+        Admission(),
+        attempts,
+        lambda: _entry_addresses(membership, settings, view),
+        metrics,
     )
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
-    status = DeploymentStatus(peers, configuration, view, hosts, store)
+    status = DeploymentStatus(peers, configuration, view, membership, store)
     operations = OperationsService(store, view, status)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
+        await membership.start(nursery)
         await configuration.start(nursery)
+        await roles.start(nursery)
         nursery.start_soon(connections.run)
         if "metrics_listen" in settings:
             await nursery.start(
@@ -116,17 +143,15 @@
         )
         log.info("entry.started", name=settings["name"], revision=view.revision)
         await wait_for_stop(lambda: gateway.n_open)
+        await membership.close()
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            await roles.close()
         while gateway.n_open:
             await trio.sleep(0.05)
         await peers.close()
         nursery.cancel_scope.cancel()
 
 
-def _leaving(hosts: HostList, view: ConfigurationView) -> set[str]:
-    """Return the agents that the platform or an operator names as leaving."""
-    return {h.name for h in hosts.with_role("agent") if is_leaving(h, view)}
-
-
 def _missing(
     configuration: ConfigurationSync, hosts: HostList, peers: Peers
 ) -> list[str]:
@@ -139,12 +164,19 @@
     return missing
 
 
-def _entry_addresses(hosts: HostList, view: ConfigurationView) -> list[Address]:
-    return [
-        Address.parse(host.callers_address)
-        for host in hosts.with_role("entry")
-        if not is_leaving(host, view)
+def _entry_addresses(
+    membership: Membership, settings: EntrySettings, view: ConfigurationView
+) -> list[Address]:
+    """Return the callers' addresses of the live entry hosts, near ones first."""
+    own = settings["data_centre"]
+    drained = drained_hosts(view)
+    entries = [
+        member
+        for member in membership.live("entry")
+        if member.callers_address and member.identity.name not in drained
     ]
+    entries.sort(key=lambda m: (m.identity.data_centre != own, m.identity.name))
+    return [Address.parse(member.callers_address) for member in entries]
 
 
 if __name__ == "__main__":
--- a/poplarward/state/__init__.py
+++ b/poplarward/state/__init__.py
@@ -30,7 +30,7 @@
     StoredObject,
     WatchEvent,
 )
-from .view import Changes, ConfigurationView
+from .view import Changes, ConfigurationView, drained_hosts
 from .writer import Writer
 
 __all__ = [
@@ -55,6 +55,7 @@
     "WorkspaceSpec",
     "Writer",
     "check_spec",
+    "drained_hosts",
     "object_name",
     "resource_of",
 ]
--- a/tests/coordination/configuration/test_sync.py
+++ b/tests/coordination/configuration/test_sync.py
@@ -158,11 +158,14 @@
         fresh = fleet.start("entry", "entry-9", "rennes")
         pair = {p.identity.address.host for p in (fresh, behind)}
         fleet.network.faults.is_cut = lambda a, b: (a in pair) != (b in pair)
+        # Membership counts only the two as live, as it does on their side of a cut.
+        fleet.suspects = {f"entry-{number}" for number in range(4)}
         behind.thaw()
         await trio.sleep(60)
         assert (behind.view.revision, fresh.view.revision) == (1, 1)
         assert not fresh.sync.ready.is_set()
         fleet.network.faults.is_cut = lambda a, b: False
+        fleet.suspects = set()
         with trio.fail_after(IN_FORCE_S):
             await fresh.sync.ready.wait()
         assert fresh.view.revision == revision
--- a/tests/operations/test_status.py
+++ b/tests/operations/test_status.py
@@ -5,10 +5,8 @@
 import trio
 
 from benchmarks.configuration_fleet import Fleet
-from poplarward.coordination import HostEntry, HostList
-from poplarward.coordination.hosts import is_leaving
 from poplarward.operations import DeploymentStatus
-from poplarward.state import DRAIN_KIND, ConfigurationView, Resource
+from poplarward.state import DRAIN_KIND, ConfigurationView, Resource, drained_hosts
 
 
 async def test_status_tells_leases_and_an_absent_store(autojump_clock):
@@ -19,9 +17,8 @@
         fleet.start_all(1, 0, ["rennes"])
         await fleet.wait_ready()
         entry = fleet.processes["entry-0"]
-        hosts = HostList("http://127.0.0.1:9")
         status = DeploymentStatus(
-            entry.peers, entry.sync, entry.view, hosts, fleet.store
+            entry.peers, entry.sync, entry.view, fleet, fleet.store
         )
         seen = await status.status()
         assert seen.store_reachable
@@ -32,13 +29,9 @@
         nursery.cancel_scope.cancel()
 
 
-def test_host_is_leaving_by_the_platform_or_an_operator():
+def test_drained_hosts_are_those_in_force():
     view = ConfigurationView()
     view.apply(Resource(DRAIN_KIND, "entry-2", 3, {"drain": True}))
-    hosts = [
-        HostEntry(f"entry-{n}", "entry", "rennes", state, "10.0.0.1:9000")
-        for n, state in ((1, "live"), (2, "live"), (3, "leaving"))
-    ]
-    assert [is_leaving(host, view) for host in hosts] == [False, True, True]
+    assert drained_hosts(view) == {"entry-2"}
     view.apply(Resource(DRAIN_KIND, "entry-2", 5, None))
-    assert not is_leaving(hosts[1], view)
+    assert not drained_hosts(view)
