--- a/poplarward/coordination/configuration/sync.py
+++ b/poplarward/coordination/configuration/sync.py
@@ -114,8 +114,7 @@
     def _note_ready(self, source: str) -> None:
         if not self.ready.is_set():
             self.ready.set()
-            revision = self._view.revision
-            log.info("configuration.ready", source=source, revision=revision)
+            log.info("configuration.ready", source=source, revision=self._view.revision)
 
     def _is_reader(self) -> bool:
         return self._identity.name in self._readers()
@@ -283,10 +282,8 @@
             with_names = self._names_wanted_by == connection.identity.name
             self._names_wanted_by = None
             report = self.publisher.report(with_names=with_names)
-        view = self._view
-        return ConfigurationPull(
-            view.revision, view.digest, is_following, report, revision, chunk
-        )
+        held = (self._view.revision, self._view.digest)
+        return ConfigurationPull(*held, is_following, report, revision, chunk)
 
     async def _on_delta(
         self, connection: Connection, delta: ConfigurationDelta
