--- a/poplarward/coordination/__init__.py
+++ b/poplarward/coordination/__init__.py
@@ -5,11 +5,11 @@
 holds, by leases; a `FenceGuard` refuses the orders of a former holder.
 """
 
-from .configuration import ConfigurationSync, ListedMembers
+from .configuration import ConfigurationSync
 from .fencing import FenceGuard, FenceKeeper
 from .hosts import HostEntry, HostList
 from .leases import Lease, LeaseTiming
-from .membership import Membership, Presence
+from .membership import Member, Membership, Presence
 from .roles import ControlRoles, map_role
 
 __all__ = [
@@ -21,8 +21,8 @@
     "HostList",
     "Lease",
     "LeaseTiming",
+    "Member",
     "Membership",
     "Presence",
-    "ListedMembers",
     "map_role",
 ]
--- a/poplarward/coordination/configuration/sync.py
+++ b/poplarward/coordination/configuration/sync.py
@@ -16,6 +16,7 @@
     ConfigurationUnchanged,
     SnapshotChunk,
 )
+from ...protocol.heartbeats import MemberState
 from ...protocol.peers import CallRefused
 from ...state import ConfigurationView, ObjectStore
 from ...telemetry import get_logger
@@ -64,8 +65,6 @@
     ----------
     ready : trio.Event
         Set once the configuration may be relied on.
-    is_store_reachable : bool
-        Whether the object API answered this process's last call.
     """
 
     def __init__(
@@ -90,11 +89,6 @@
         self._scope = trio.CancelScope()
         peers.register(ConfigurationDelta, self._on_delta)
 
-    @property
-    def is_store_reachable(self) -> bool:
-        """Whether the object API answered this process's last call."""
-        return not self._reader.has_failed
-
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow and to pass on."""
         self.publisher.start(nursery)
@@ -120,8 +114,7 @@
     def _note_ready(self, source: str) -> None:
         if not self.ready.is_set():
             self.ready.set()
-            revision = self._view.revision
-            log.info("configuration.ready", source=source, revision=revision)
+            log.info("configuration.ready", source=source, revision=self._view.revision)
 
     def _is_reader(self) -> bool:
         return self._identity.name in self._readers()
@@ -139,6 +132,15 @@
             entries.append(own)
         return entries
 
+    def _n_known_entries(self) -> int:
+        """Return how many other entry hosts there are, live or suspect."""
+        members = self._members.members("entry") if self._members else []
+        return sum(
+            member.state is not MemberState.GONE
+            and member.identity.name != self._identity.name
+            for member in members
+        )
+
     async def _pull_regularly(self) -> None:
         rng = self._rng("pulls")
         for number in itertools.count():
@@ -181,7 +183,8 @@
         async with trio.open_nursery() as nursery:
             for name in list(others)[: 2 * N_WITNESSES]:
                 nursery.start_soon(self._pull, others[name], False)
-        n_needed = min(N_WITNESSES, len(others))
+        # Entry hosts that are suspect may hold more than those that answer.
+        n_needed = min(N_WITNESSES, max(len(others), self._n_known_entries()))
         if n_needed and self._reader.has_failed and len(self._witnesses) >= n_needed:
             self._note_ready("peers")
 
@@ -279,10 +282,8 @@
             with_names = self._names_wanted_by == connection.identity.name
             self._names_wanted_by = None
             report = self.publisher.report(with_names=with_names)
-        view = self._view
-        return ConfigurationPull(
-            view.revision, view.digest, is_following, report, revision, chunk
-        )
+        held = (self._view.revision, self._view.digest)
+        return ConfigurationPull(*held, is_following, report, revision, chunk)
 
     async def _on_delta(
         self, connection: Connection, delta: ConfigurationDelta
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -26,6 +26,7 @@
     ControlRoles,
     HostList,
     LeaseTiming,
+    Member,
     Membership,
     Presence,
     map_role,
@@ -47,11 +48,11 @@
     Router,
     named_addresses,
 )
-from ..state import ConfigurationView, HttpObjectStore, Writer
+from ..state import ConfigurationView, HttpObjectStore, Writer, drained_hosts
 from ..telemetry import RequestMetrics, get_logger
-from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import EntrySettings
+from .settings import EntrySettings, peers_network, tls_files
 from .startup import load, wait_for_stop
 
 __all__ = ["main"]
@@ -80,7 +81,7 @@
     store = HttpObjectStore(settings["platform_url"])
     hosts = HostList(settings["platform_url"])
     view = ConfigurationView()
-    peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
+    peers = Peers(peers_network(settings), identity, settings["peer_secret"])
     presence = Presence(peers, settings["callers_listen"])
     membership = Membership(peers, presence, hosts.hosts_now, seed=identity.start_id)
     roles = ControlRoles(
@@ -96,7 +97,7 @@
     relay = Relay(peers)
     router = Router(
         agents,
-        leaving=lambda: membership.not_live("agent"),
+        leaving=lambda: membership.not_live("agent") | drained_hosts(view),
         data_centre=settings["data_centre"],
         far_cost_requests=settings.get("far_cost_requests", 0.0),
     )
@@ -108,14 +109,14 @@
         Admission(),
         attempts,
         lambda caller_host: named_addresses(
-            membership.live("entry"), settings["data_centre"], caller_host
+            _entries_to_name(membership, view), settings["data_centre"], caller_host
         ),
         metrics,
     )
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
-    status = DeploymentStatus(peers, configuration, view, hosts)
+    status = DeploymentStatus(peers, configuration, view, membership, store)
     operations = OperationsService(store, view, status)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
@@ -129,17 +130,20 @@
                 serve_http,
                 asgi_application(monitoring.handle),
                 Address.parse(settings["metrics_listen"]),
+                tls_files(settings, "metrics_tls"),
             )
         await configuration.ready.wait()
         await nursery.start(
             serve_http,
             asgi_application(gateway.handle),
             Address.parse(settings["callers_listen"]),
+            tls_files(settings, "callers_tls"),
         )
         await nursery.start(
             serve_http,
             operations_application(operations, settings["operator_tokens"]),
             Address.parse(settings["operators_listen"]),
+            tls_files(settings, "operators_tls"),
         )
         log.info("entry.started", name=settings["name"], revision=view.revision)
         await wait_for_stop(lambda: gateway.n_open)
@@ -164,5 +168,11 @@
     return missing
 
 
+def _entries_to_name(membership: Membership, view: ConfigurationView) -> list[Member]:
+    """Return the live entry hosts that no operator drains."""
+    drained = drained_hosts(view)
+    return [m for m in membership.live("entry") if m.identity.name not in drained]
+
+
 if __name__ == "__main__":
     main()
--- a/poplarward/state/view.py
+++ b/poplarward/state/view.py
@@ -9,9 +9,9 @@
 import trio
 import xxhash
 
-from .resources import Resource
+from .resources import DRAIN_KIND, Resource
 
-__all__ = ["Changes", "ConfigurationView"]
+__all__ = ["Changes", "ConfigurationView", "drained_hosts"]
 
 MAX_LOGGED_CHANGES = 2048
 DIGEST_MASK = (1 << 64) - 1
@@ -167,6 +167,11 @@
                 callback()
 
 
+def drained_hosts(view: ConfigurationView) -> frozenset[str]:
+    """Return the names of the hosts that an operator drains."""
+    return frozenset(name for name, _ in view.specs(DRAIN_KIND))
+
+
 def _digest(resource: Resource) -> int:
     text = f"{resource.kind}\0{resource.name}\0{resource.version}"
     return xxhash.xxh3_64_intdigest(text.encode())
