Observe and rebalance a group on the entry host that leads it

Ruled out: agents pushing counts, since they do not know which entry host leads; the leader asks them instead, which also shows it a host that is away.

The change: GroupController, counts from the engines, a coordinator that starts no change unless the hosts that answer run all ranks of the group, FenceKeeper in place of the package's own fence memory.

The entry and agent programs do not start it yet.

--- a/benchmarks/expert_map_ways.py
+++ b/benchmarks/expert_map_ways.py
@@ -11,8 +11,8 @@
 
 import trio
 
+from poplarward.coordination import FenceKeeper
 from poplarward.coordination.expert_maps import (
-    FenceMemory,
     GroupHost,
     MapCoordinator,
     MapKeeper,
@@ -61,6 +61,7 @@
             "group",
             lambda fence=run.fence: fence,
             lambda: run.hosts,
+            lambda: len(run.hosts),
             MapRecord(run.store, Writer(run.store), "group"),
             run.lead_steps,
         )
@@ -244,8 +245,10 @@
         host = self.hosts[index]
         identity = ProcessIdentity("agent", host.name, 1, host.address, "a")
         peers = Peers(self.network.host(host.address.host), identity, "s")
-        fences = FenceMemory(peers, "group", self._read_fence, list)
-        keeper = MapKeeper(peers, "group", self.ranks.engines[index], fences)
+        fences = FenceKeeper(peers, self.store, "group", "lease", list)
+        engine = self.ranks.engines[index]
+        keeper = MapKeeper(peers, "group", engine, fences, [index])
+        await fences.start(self._nursery)
         await keeper.start(self._nursery)
         await peers.start(self._nursery)
 
@@ -255,7 +258,3 @@
         identity = ProcessIdentity("entry", host, self.fence, Address(host, 9000), "a")
         self.coordinator_peers = Peers(self.network.host(host), identity, "s")
         await self.coordinator_peers.start(self._nursery)
-
-    async def _read_fence(self) -> int:
-        await trio.sleep(0.002)
-        return self.fence
--- a/poplarward/coordination/expert_maps/__init__.py
+++ b/poplarward/coordination/expert_maps/__init__.py
@@ -7,7 +7,6 @@
 
 from .coordinator import ChangeOutcome, ChangeResult, GroupHost, MapCoordinator
 from .engine import EngineControl, EngineStatus, Hold
-from .fences import FenceMemory
 from .http_engine import HttpEngineControl
 from .keeper import MapKeeper
 from .record import MapRecord
@@ -18,7 +17,6 @@
     "ChangeResult",
     "EngineControl",
     "EngineStatus",
-    "FenceMemory",
     "GroupHost",
     "Hold",
     "HttpEngineControl",
--- a/poplarward/coordination/expert_maps/coordinator.py
+++ b/poplarward/coordination/expert_maps/coordinator.py
@@ -91,7 +91,9 @@
     fence : callable
         The fencing number while the group's lease is surely held, otherwise None.
     hosts : callable
-        All hosts of the group.
+        The hosts of the group that are known.
+    n_ranks : callable
+        Ranks that the group has; no change starts unless its hosts run them all.
     record : MapRecord
         Where maps in force are recorded.
 
@@ -111,6 +113,7 @@
         group: str,
         fence: Callable[[], int | None],
         hosts: Callable[[], Sequence[GroupHost]],
+        n_ranks: Callable[[], int],
         record: MapRecord,
         lead_steps: int = LEAD_STEPS,
     ):
@@ -121,10 +124,21 @@
         self._group = group
         self._fence = fence
         self._hosts = hosts
+        self._n_ranks = n_ranks
         self._record = record
         self._attempts = itertools.count(1)
         self._is_recorded = False
 
+    @property
+    def is_leading(self) -> bool:
+        """Whether the group's lease is surely held."""
+        return self._fence() is not None
+
+    @property
+    def group(self) -> str:
+        """Name of the model group."""
+        return self._group
+
     async def load(self) -> bool:
         """Settle what earlier coordinators left and read the map in force.
 
@@ -179,7 +193,7 @@
     ) -> str | None:
         """Get the weights in place on every host; returns why that failed."""
         request = StageMap(self._group, map_id, base, changes)
-        replies = await self._call_all(request, STAGE_TIMEOUT_MS)
+        replies = await self.ask_hosts(request, STAGE_TIMEOUT_MS)
         for host, reply in replies.items():
             if not isinstance(reply, Staged) or not reply.is_staged:
                 reason = getattr(reply, "reason", "no answer")
@@ -197,7 +211,7 @@
         ]
         step = max(state.step for state in states.values()) + self.lead_steps
         request = PrepareMap(self._group, map_id, base, step, members)
-        replies = await self._call_all(request, PREPARE_TIMEOUT_MS)
+        replies = await self.ask_hosts(request, PREPARE_TIMEOUT_MS)
         votes = [_vote_of(reply) for reply in replies.values()]
         reasons = [reply.reason for reply in replies.values() if _is_no(reply)]
         decision = decide(votes)
@@ -235,11 +249,13 @@
             await announce(self._peers, self._group, map_id, decision, members)
 
     async def _states(self, fence: int) -> dict[GroupHost, HostState] | None:
-        """Return the states of the hosts, None unless all answer."""
+        """Return the states of the hosts, None unless all ranks are spoken for."""
         request = GetHostState(self._group, fence)
-        replies = await self._call_all(request, STATE_TIMEOUT_MS)
-        is_complete = all(isinstance(reply, HostState) for reply in replies.values())
-        return replies if replies and is_complete else None
+        replies = await self.ask_hosts(request, STATE_TIMEOUT_MS)
+        if not all(isinstance(reply, HostState) for reply in replies.values()):
+            return None
+        ranks = [rank for state in replies.values() for rank in state.ranks]
+        return replies if sorted(ranks) == list(range(self._n_ranks())) else None
 
     async def _read_map(self, active: MapId) -> RecordedMap | None:
         try:
@@ -266,8 +282,8 @@
                 log.info("map.not_recorded", group=self._group, reason=str(error))
         return self._is_recorded
 
-    async def _call_all(self, request: Any, timeout_ms: float) -> dict[GroupHost, Any]:
-        """Call every host; None stands for no answer."""
+    async def ask_hosts(self, request: Any, timeout_ms: float) -> dict[GroupHost, Any]:
+        """Call every host of the group; None stands for no answer."""
         replies: dict[GroupHost, Any] = dict.fromkeys(self._hosts())
 
         async def call(host: GroupHost) -> None:
--- a/poplarward/coordination/expert_maps/engine.py
+++ b/poplarward/coordination/expert_maps/engine.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
-from ...protocol.expert_maps import MapId, SlotChange
+from ...protocol.expert_maps import MapId, RankCounts, SlotChange
 
 __all__ = ["EngineControl", "EngineStatus", "Hold"]
 
@@ -59,6 +59,10 @@
         """Return the experts of the map in use, by layer, rank and slot."""
         ...
 
+    async def counts(self) -> list[RankCounts]:
+        """Return the mean counts of a step for each rank, since the last call."""
+        ...
+
     async def stage(
         self, fence: int, map_id: MapId, changes: Sequence[SlotChange]
     ) -> None:
--- a/poplarward/coordination/expert_maps/http_engine.py
+++ b/poplarward/coordination/expert_maps/http_engine.py
@@ -12,7 +12,7 @@
     UpstreamUnreachable,
     WeightsUnavailable,
 )
-from ...protocol.expert_maps import MapId, SlotChange
+from ...protocol.expert_maps import MapId, RankCounts, SlotChange
 from ...transport import HttpClient
 from .engine import EngineStatus, Hold
 
@@ -47,6 +47,12 @@
         """Return the experts of the map in use, by layer, rank and slot."""
         return await self._call("GET", "/experts/layers")
 
+    async def counts(self) -> list[RankCounts]:
+        """Return the mean counts of a step for each rank, since the last call."""
+        return [
+            RankCounts(*item) for item in await self._call("GET", "/experts/counts")
+        ]
+
     async def stage(
         self, fence: int, map_id: MapId, changes: Sequence[SlotChange]
     ) -> None:
--- a/poplarward/coordination/expert_maps/keeper.py
+++ b/poplarward/coordination/expert_maps/keeper.py
@@ -10,6 +10,7 @@
 
 import base64
 from collections import OrderedDict
+from collections.abc import Sequence
 
 import trio
 
@@ -17,6 +18,7 @@
     DecodeError,
     EngineRefused,
     EngineUnreachable,
+    StaleFence,
     WeightsUnavailable,
 )
 from ...protocol import Connection, Peers, decode, encode
@@ -24,6 +26,8 @@
     AskVote,
     Decided,
     Decision,
+    ExpertCounts,
+    GetExpertCounts,
     GetHostState,
     GetMap,
     HostState,
@@ -37,8 +41,8 @@
     VoteReply,
 )
 from ...telemetry import get_logger
+from ..fencing import FenceKeeper
 from .engine import EngineControl, EngineStatus
-from .fences import NO_FENCE, FenceMemory
 from .votes import announce, ask_votes, decide
 
 __all__ = ["MapKeeper"]
@@ -62,17 +66,25 @@
         Name of the model group.
     engine : EngineControl
         The ranks of this host.
-    fences : FenceMemory
+    fences : FenceKeeper
         Greatest fencing number of the group.
+    ranks : sequence of int
+        Numbers of the ranks that this host runs.
     """
 
     def __init__(
-        self, peers: Peers, group: str, engine: EngineControl, fences: FenceMemory
+        self,
+        peers: Peers,
+        group: str,
+        engine: EngineControl,
+        fences: FenceKeeper,
+        ranks: Sequence[int],
     ):
         self._peers = peers
         self._group = group
         self._engine = engine
         self._fences = fences
+        self._ranks = list(ranks)
         self._lock = trio.Lock()
         self._undecided: PrepareMap | None = None
         self._votes: OrderedDict[MapId, tuple[Vote, str]] = OrderedDict()
@@ -83,6 +95,7 @@
         peers.register(Decided, self._on_decided)
         peers.register(GetHostState, self._on_get_state)
         peers.register(GetMap, self._on_get_map)
+        peers.register(GetExpertCounts, self._on_get_counts)
 
     @property
     def has_voted(self) -> bool:
@@ -97,14 +110,18 @@
 
     async def _on_stage(self, connection: Connection, request: StageMap) -> Staged:
         map_id = request.map_id
-        if not self._fences.accepts(map_id.fence):
-            return Staged(map_id, False, self._fence_reason(map_id))
         try:
+            self._fences.guard.check(map_id.fence)
             status = await self._engine.status()
             if status.active != request.base or status.pending is not None:
                 return Staged(map_id, False, f"the map in use is {status.active}")
             await self._engine.stage(map_id.fence, map_id, request.changes)
-        except (EngineRefused, EngineUnreachable, WeightsUnavailable) as error:
+        except (
+            EngineRefused,
+            EngineUnreachable,
+            StaleFence,
+            WeightsUnavailable,
+        ) as error:
             return Staged(map_id, False, f"{type(error).__name__}: {error}")
         return Staged(map_id, True)
 
@@ -145,20 +162,19 @@
                 self._check(request, status)
                 note = base64.b64encode(encode(request)).decode()
                 await self._engine.hold(map_id.fence, map_id, request.step, note)
-            except EngineRefused as error:
+            except (EngineRefused, StaleFence) as error:
                 self._remember(map_id, Vote.NO, str(error))
                 log.info("map.refused", group=self._group, reason=str(error))
                 return
         self._begin_settling(request)
 
     def _check(self, request: PrepareMap, status: EngineStatus) -> None:
-        """Raise `EngineRefused` if the host can't vote ready."""
+        """Raise `EngineRefused` or `StaleFence` if the host can't vote ready."""
         map_id = request.map_id
         own = self._peers.identity
         if all(member[:2] != (own.name, own.start_id) for member in request.members):
             raise EngineRefused("the attempt does not name this start of the agent")
-        if not self._fences.accepts(map_id.fence):
-            raise EngineRefused(self._fence_reason(map_id))
+        self._fences.guard.check(map_id.fence)
         if self._undecided is not None:
             raise EngineRefused(f"{self._undecided.map_id} is not decided")
         if status.active != request.base or status.pending is not None:
@@ -196,16 +212,17 @@
     async def _on_get_state(
         self, connection: Connection, request: GetHostState
     ) -> HostState:
-        if request.group == self._group and request.fence != NO_FENCE:
-            self._fences.accepts(request.fence)
+        try:
+            self._fences.guard.check(request.fence)
+        except StaleFence as error:
+            log.info("map.stale_question", group=self._group, reason=str(error))
         status = await self._engine.status()
         if status.hold is not None and self._undecided is None:
             await self._adopt()
         undecided = self._undecided
-        known = self._fences.known
         return HostState(
             start_id=self._peers.identity.start_id,
-            fence=NO_FENCE if known is None else known,
+            ranks=self._ranks,
             step=status.step,
             active=status.active,
             pending=status.pending,
@@ -217,6 +234,13 @@
         status = await self._engine.status()
         return MapContents(status.active, await self._engine.layers())
 
+    async def _on_get_counts(
+        self, connection: Connection, request: GetExpertCounts
+    ) -> ExpertCounts:
+        status = await self._engine.status()
+        counts = await self._engine.counts()
+        return ExpertCounts(status.step, status.active, counts)
+
     async def _adopt_at_start(self) -> None:
         """Settle an attempt that an earlier start of the agent voted for."""
         while True:
@@ -282,7 +306,7 @@
                 if self._undecided is not request:
                     return
                 try:
-                    fence = max(map_id.fence, self._fences.greatest)
+                    fence = max(map_id.fence, self._fences.guard.greatest or 0)
                     switch = decision is Decision.COMMIT
                     await self._engine.release(fence, map_id, switch)
                 except (EngineUnreachable, EngineRefused) as error:
@@ -300,12 +324,6 @@
         if len(self._votes) > MAX_REMEMBERED_VOTES:
             self._votes.popitem(last=False)
 
-    def _fence_reason(self, map_id: MapId) -> str:
-        known = self._fences.known
-        if known is None:
-            return "the group's fencing number is not known yet"
-        return f"fencing number {map_id.fence} is smaller than {known}"
-
 
 def _vote_in(status: EngineStatus, map_id: MapId) -> Vote | None:
     """Return the vote that the engine's state stands for, None if there is none."""
--- /dev/null
+++ b/poplarward/coordination/model_groups.py
@@ -0,0 +1,229 @@
+"""Keeps the ranks of one model group evenly loaded, on the entry host that leads it.
+
+At intervals the controller asks the group's hosts for their counts, plans the moves
+that pay, and has the coordinator put the new map in force.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import trio
+
+from ..protocol.expert_maps import ExpertCounts, GetExpertCounts, RankCounts
+from ..telemetry import get_logger
+from .expert_maps import ChangeOutcome, ChangeResult, MapCoordinator
+from .rebalancing import (
+    CostModel,
+    Layer,
+    LoadEstimator,
+    Plan,
+    Planner,
+    PlannerWeights,
+    SpeedEstimator,
+    rank_work,
+)
+
+__all__ = ["GroupController", "GroupState", "layer_counts"]
+
+PLAN_INTERVAL_MS = 4000.0
+COUNTS_TIMEOUT_MS = 1000.0
+
+log = get_logger("groups")
+
+
+class GroupState(NamedTuple):
+    """What operators see of a group.
+
+    Attributes
+    ----------
+    is_leading : bool
+        Whether this entry host leads the group; if not, the rest is old.
+    preparing_version : int
+        Version of a map that is being put in force, 0 if there is none.
+    skew : float
+        Time of a step over that without skew, by the last estimates; 0 without any.
+    reason : str
+        Why the last attempt was not committed, empty if it was.
+    """
+
+    name: str
+    is_leading: bool
+    map_version: int
+    preparing_version: int
+    frozen: bool
+    skew: float
+    n_experts_moved: int
+    reason: str
+
+
+class GroupController:
+    """Observes, plans and changes the map of one group while it leads it.
+
+    Parameters
+    ----------
+    coordinator : MapCoordinator
+        Puts maps in force.
+    weights : PlannerWeights
+        The deployment's own weights.
+    costs : CostModel
+        What moving weights costs this group.
+
+    Attributes
+    ----------
+    frozen : bool
+        Whether automatic moves are stopped.
+    """
+
+    def __init__(
+        self, coordinator: MapCoordinator, weights: PlannerWeights, costs: CostModel
+    ):
+        self.frozen = False
+        self._coordinator = coordinator
+        self._planner = Planner(weights, costs)
+        self._loads: LoadEstimator | None = None
+        self._speeds: SpeedEstimator | None = None
+        self._skew = 0.0
+        self._n_moved = 0
+        self._reason = ""
+        self._changing = trio.Lock()
+        self._scope = trio.CancelScope()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to observe and plan."""
+        nursery.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Stop; an attempt in progress is settled by the group's hosts."""
+        self._scope.cancel()
+
+    def state(self) -> GroupState:
+        """Return what operators see of the group."""
+        current, preparing = self._coordinator.current, self._coordinator.preparing
+        return GroupState(
+            name=self._coordinator.group,
+            is_leading=self._coordinator.is_leading,
+            map_version=0 if current is None else current.map_id.version,
+            preparing_version=0 if preparing is None else preparing.version,
+            frozen=self.frozen,
+            skew=self._skew,
+            n_experts_moved=self._n_moved,
+            reason=self._reason,
+        )
+
+    async def rebalance(self) -> ChangeResult | None:
+        """Plan now and put the plan in force; None if no moves pay.
+
+        An operator may ask for this while automatic moves are frozen.
+        """
+        async with self._changing:
+            if not await self._observe():
+                reason = "the state of the group is not known"
+                return ChangeResult(ChangeOutcome.NOT_STARTED, None, reason)
+            plan = self._plan()
+            return None if plan is None else await self._put_in_force(plan)
+
+    async def _run(self) -> None:
+        with self._scope:
+            while True:
+                await trio.sleep(PLAN_INTERVAL_MS / 1000)
+                if not self._coordinator.is_leading:
+                    continue
+                if not self.frozen:
+                    await self.rebalance()
+                else:
+                    async with self._changing:
+                        await self._observe()
+
+    async def _observe(self) -> bool:
+        """Take in the counts of the hosts that answer."""
+        if not await self._coordinator.load():
+            return False
+        current = self._coordinator.current
+        assert current is not None
+        layers = current.layers
+        n_experts = 1 + max(expert for row in layers[0] for expert in row)
+        if self._loads is None or self._speeds is None:
+            self._loads = LoadEstimator(len(layers), n_experts)
+            self._speeds = SpeedEstimator(len(layers[0]))
+        request = GetExpertCounts(self._coordinator.group)
+        replies = await self._coordinator.ask_hosts(request, COUNTS_TIMEOUT_MS)
+        found = [
+            reply
+            for reply in replies.values()
+            if isinstance(reply, ExpertCounts) and reply.map_id == current.map_id
+        ]
+        if not found:
+            return False
+        ranks = [counts for reply in found for counts in reply.ranks]
+        step = max(reply.step for reply in found)
+        for index, layer in enumerate(layers):
+            tokens = layer_counts(index, layer, ranks, n_experts)
+            self._loads.observe(index, tokens, step)
+        for counts in ranks:
+            n_tokens = sum(map(sum, counts.tokens))
+            self._speeds.observe(counts.rank, n_tokens, counts.busy_us / 1000)
+        self._loads.follow_drift(step)
+        self._skew = self._estimate_skew(layers)
+        return True
+
+    def _estimate_skew(self, layers: Sequence[Layer]) -> float:
+        assert self._loads is not None
+        work = [
+            rank_work(layer, self._loads.loads(index))
+            for index, layer in enumerate(layers)
+        ]
+        mean = sum(sum(ranks) / len(ranks) for ranks in work)
+        return sum(map(max, work)) / mean if mean > 0 else 0.0
+
+    def _plan(self) -> Plan | None:
+        current = self._coordinator.current
+        assert current is not None
+        assert self._loads is not None and self._speeds is not None
+        slowness = self._speeds.slowness()
+        return self._planner.plan(current.layers, self._loads, slowness)
+
+    async def _put_in_force(self, plan: Plan) -> ChangeResult:
+        result = await self._coordinator.change(plan.moves, plan.transfers.transfers)
+        self._reason = result.reason
+        if result.outcome is ChangeOutcome.COMMITTED:
+            self._n_moved += len(plan.moves)
+            self._reason = ""
+        log.info(
+            "group.rebalanced",
+            group=self._coordinator.group,
+            outcome=result.outcome,
+            n_moves=len(plan.moves),
+            reason=result.reason,
+        )
+        return result
+
+
+def layer_counts(
+    index: int, layer: Layer, ranks: Sequence[RankCounts], n_experts: int
+) -> list[float | None]:
+    """Return the tokens of each expert in a layer, None if no rank reported it.
+
+    Replicas whose ranks did not report are taken to have the mean of the others.
+
+    Examples
+    --------
+    >>> counts = [RankCounts(rank=0, busy_us=0, tokens=[[6, 1]])]
+    >>> layer_counts(0, ((0, 1), (0, 2)), counts, n_experts=3)
+    [12.0, 1.0, None]
+    """
+    sums, n_reported, n_replicas = [0] * n_experts, [0] * n_experts, [0] * n_experts
+    for row in layer:
+        for expert in row:
+            n_replicas[expert] += 1
+    for counts in ranks:
+        for expert, tokens in zip(
+            layer[counts.rank], counts.tokens[index], strict=True
+        ):
+            sums[expert] += tokens
+            n_reported[expert] += 1
+    return [
+        total * n_all / n if n else None
+        for total, n, n_all in zip(sums, n_reported, n_replicas, strict=True)
+    ]
--- a/poplarward/protocol/expert_maps.py
+++ b/poplarward/protocol/expert_maps.py
@@ -11,6 +11,8 @@
     "AskVote",
     "Decided",
     "Decision",
+    "ExpertCounts",
+    "GetExpertCounts",
     "GetHostState",
     "GetMap",
     "HostState",
@@ -18,6 +20,7 @@
     "MapId",
     "Member",
     "PrepareMap",
+    "RankCounts",
     "SlotChange",
     "StageMap",
     "Staged",
@@ -166,8 +169,8 @@
     ----------
     start_id : int
         The start of its agent.
-    fence : int
-        Greatest fencing number that the agent knows; -1 until it has learnt one.
+    ranks : list of int
+        Numbers of the ranks that the host runs.
     step : int
         Step that the host's ranks are in, or wait to begin.
     active : MapId
@@ -181,7 +184,7 @@
     """
 
     start_id: int
-    fence: int
+    ranks: list[int]
     step: int
     active: MapId
     pending: MapId | None
@@ -202,3 +205,33 @@
 
     map_id: MapId
     layers: list[list[list[int]]]
+
+
+class RankCounts(NamedTuple):
+    """Tokens of a step that a rank worked through, by layer and slot.
+
+    Attributes
+    ----------
+    busy_us : int
+        Time of a step in which the rank worked, waiting left out.
+    """
+
+    rank: int
+    busy_us: int
+    tokens: list[list[int]]
+
+
+@message(210)
+class GetExpertCounts:
+    """Asks a host for the counts of its ranks since it was last asked."""
+
+    group: str
+
+
+@message(211)
+class ExpertCounts:
+    """Mean counts of a host's ranks, for the steps up to ``step`` on one map."""
+
+    step: int
+    map_id: MapId
+    ranks: list[RankCounts]
--- a/poplarward/standins/rank_group.py
+++ b/poplarward/standins/rank_group.py
@@ -11,7 +11,7 @@
 
 from ..coordination.expert_maps import EngineStatus, Hold
 from ..errors import EngineRefused, EngineUnreachable, WeightsUnavailable
-from ..protocol.expert_maps import MapId, SlotChange
+from ..protocol.expert_maps import MapId, RankCounts, SlotChange
 
 __all__ = ["FIRST_MAP", "HostEngine", "RankGroupStandin"]
 
@@ -63,6 +63,13 @@
         await self._begin_order()
         return [[list(row) for row in layer] for layer in self._group.maps[self.active]]
 
+    async def counts(self) -> list[RankCounts]:
+        """Return the mean counts of a step for each rank, since the last call."""
+        await self._begin_order()
+        counts = self._group.counts(self)
+        await self._answer()
+        return counts
+
     async def stage(
         self, fence: int, map_id: MapId, changes: Sequence[SlotChange]
     ) -> None:
@@ -159,6 +166,8 @@
         Time at which each step ended.
     maps : dict
         Layers of every map that was in use.
+    loads : list of float
+        Tokens of a step that each expert gets, in every layer.
     """
 
     def __init__(
@@ -172,6 +181,9 @@
         self.maps_by_step: dict[int, dict[MapId, list[int]]] = {}
         self.step_ends: list[float] = []
         self.maps = {FIRST_MAP: [[list(row) for row in layer] for layer in layers]}
+        n_experts = 1 + max(expert for row in layers[0] for expert in row)
+        self.loads = [100.0] * n_experts
+        self._n_ranks = len(layers[0])
         self._step_s = step_ms / 1000
         self._n_arrived = 0
         self._ended = trio.Event()
@@ -187,6 +199,24 @@
             layers[change.layer][change.rank][change.slot] = change.expert
         self.maps[map_id] = layers
 
+    def counts(self, engine: HostEngine) -> list[RankCounts]:
+        """Return the counts of a step for the ranks of one host."""
+        layers = self.maps[engine.active]
+        n_hosts, index = len(self.engines), self.engines.index(engine)
+        found = []
+        for rank in range(index, self._n_ranks, n_hosts):
+            tokens = [self._tokens(layer, layer[rank]) for layer in layers]
+            busy_us = round(10 * sum(map(sum, tokens)))
+            found.append(RankCounts(rank, busy_us, tokens))
+        return found
+
+    def _tokens(self, layer: list[list[int]], row: list[int]) -> list[int]:
+        n_replicas = [sum(expert in other for other in layer) for expert in row]
+        return [
+            round(self.loads[expert] / n)
+            for expert, n in zip(row, n_replicas, strict=True)
+        ]
+
     async def run(self) -> None:
         """Step until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/tests/coordination/expert_maps/harness.py
+++ b/tests/coordination/expert_maps/harness.py
@@ -7,9 +7,9 @@
 import trio
 from trio.testing import MockClock
 
+from poplarward.coordination import FenceKeeper
 from poplarward.coordination.expert_maps import (
     ChangeResult,
-    FenceMemory,
     GroupHost,
     MapCoordinator,
     MapKeeper,
@@ -21,7 +21,7 @@
 from poplarward.protocol.expert_maps import Decided
 from poplarward.standins.object_store import MemoryObjectStore
 from poplarward.standins.rank_group import RankGroupStandin
-from poplarward.state import Writer
+from poplarward.state import StoredObject, Writer
 from poplarward.transport import Address, LinkFaults, MemoryNetwork
 
 GROUP = "drafts"
@@ -65,6 +65,20 @@
         return await self._pass(self._peers.connection, *arguments)
 
 
+class FenceStore:
+    """The store as an agent that learns the fencing number sees it."""
+
+    def __init__(self, group):
+        self._group = group
+
+    async def get(self, kind, name):
+        await trio.sleep(0.002)
+        if self._group.store.faults.is_down:
+            raise StoreUnavailable("down")
+        fence = self._group.fence
+        return StoredObject(kind, name, fence, {"fence": fence})
+
+
 class Coordinator:
     """A coordinator with a fence that it believes in for as long as it lives."""
 
@@ -139,12 +153,6 @@
             except PoplarwardError:
                 pass
 
-    async def read_fence(self):
-        await trio.sleep(0.002)
-        if self.store.faults.is_down:
-            raise StoreUnavailable("down")
-        return self.fence
-
     def heal_host(self, index):
         self.cut.discard(self.hosts[index].address.host)
         engine = self.ranks.engines[index]
@@ -171,11 +179,13 @@
         identity = ProcessIdentity("agent", host.name, self._starts, host.address, "a")
         peers = Peers(self.network.host(host.address.host), identity, "s")
         others = [h.address for h in self.hosts if h != host]
-        fences = FenceMemory(peers, GROUP, self.read_fence, lambda: others)
-        keeper = MapKeeper(peers, GROUP, self.ranks.engines[index], fences)
+        fences = FenceKeeper(peers, FenceStore(self), GROUP, "lease", lambda: others)
+        engine = self.ranks.engines[index]
+        keeper = MapKeeper(peers, GROUP, engine, fences, [index])
         self.keepers[index] = keeper
         ended = trio.Event()
         async with trio.open_nursery() as nursery:
+            await fences.start(nursery)
             await keeper.start(nursery)
             await peers.start(nursery)
             task_status.started((nursery.cancel_scope, ended))
@@ -191,6 +201,7 @@
             GROUP,
             lambda: fence,
             lambda: self.hosts,
+            lambda: len(self.hosts),
             MapRecord(self.store, Writer(self.store), GROUP),
         )
         async with trio.open_nursery() as nursery:
--- a/tests/coordination/expert_maps/test_change.py
+++ b/tests/coordination/expert_maps/test_change.py
@@ -152,5 +152,5 @@
     group.cut.clear()
     await trio.sleep(5)
     reply = await old.peers.call(host.address, order, 1000)
-    assert reply.reason == "fencing number 1 is smaller than 2"
+    assert reply.reason == "StaleFence: drafts: fence 1 is older than 2"
     nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/coordination/test_model_groups.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import trio
+
+from poplarward.coordination.model_groups import GroupController
+from poplarward.coordination.rebalancing import CostModel, PlannerWeights
+from tests.coordination.expert_maps.harness import Group
+
+COSTS = CostModel(1_000_000, 1e9, 1e8, step_ms=20.0, slowed_share=0.2)
+
+
+async def start_controller(nursery):
+    group = Group(nursery)
+    group.ranks.loads = [300.0, 50.0, 40.0, 60.0]
+    await group.start()
+    await trio.sleep(1)
+    leader = await group.start_coordinator()
+    controller = GroupController(leader.coordinator, PlannerWeights(3, 1), COSTS)
+    await controller.start(nursery)
+    return group, controller
+
+
+async def test_controller_evens_out_the_ranks_and_then_rests(nursery, autojump_clock):
+    group, controller = await start_controller(nursery)
+    await trio.sleep(5)
+    before = controller.state().skew
+    await trio.sleep(60)
+    state = controller.state()
+    assert state.is_leading and state.map_version > 1 and state.reason == ""
+    assert state.skew < before
+    await trio.sleep(120)
+    assert controller.state() == state
+    assert group.ranks.mixed_steps() == []
+    nursery.cancel_scope.cancel()
+
+
+async def test_frozen_group_moves_only_when_forced(nursery, autojump_clock):
+    group, controller = await start_controller(nursery)
+    controller.frozen = True
+    await trio.sleep(60)
+    assert controller.state().map_version == 1
+    assert controller.state().skew > 1.1
+    group.ranks.engines[1].fails_weights = True
+    result = await controller.rebalance()
+    assert result.outcome == "aborted"
+    assert "WeightsUnavailable" in controller.state().reason
+    assert controller.state().map_version == 1
+    group.ranks.engines[1].fails_weights = False
+    assert (await controller.rebalance()).outcome == "committed"
+    await trio.sleep(10)
+    assert controller.state().map_version == 2
+    assert controller.state().n_experts_moved > 0
+    nursery.cancel_scope.cancel()
