Run the map's coordinator on entry hosts and its keeper in agents

Cause: no program started the parts that change maps and plan moves.

Ruled out: handing the coordinator the agents of a group as a list that is known to be whole; an entry host only knows those that report to it. So a host tells which ranks it runs, and no change starts unless all ranks are spoken for, each once.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -160,8 +160,12 @@
         upstream: str,
         url: str,
         n_slots: int = 32,
+        ranks: list[int] | None = None,
     ) -> ManagedProcess:
-        """Start an agent, list it, and wait until it serves."""
+        """Start an agent, list it, and wait until it serves.
+
+        With `ranks` it takes part in changes of its group's expert map.
+        """
         host = self.new_host()
         self.settings[name] = {
             "name": name,
@@ -177,6 +181,8 @@
                 "n_slots": n_slots,
             },
         }
+        if ranks is not None:
+            self.settings[name]["upstream"]["ranks"] = ranks
         await self.list_host(name)
         return await self.restart(name)
 
--- a/poplarward/coordination/expert_maps/keeper.py
+++ b/poplarward/coordination/expert_maps/keeper.py
@@ -103,9 +103,8 @@
         return self._undecided is not None
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Begin to learn the fencing number and to settle what the engine holds."""
+        """Begin to settle what the engine holds; `fences` is started apart."""
         self._nursery = nursery
-        await self._fences.start(nursery)
         nursery.start_soon(self._adopt_at_start)
 
     async def _on_stage(self, connection: Connection, request: StageMap) -> Staged:
--- a/poplarward/coordination/model_groups.py
+++ b/poplarward/coordination/model_groups.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import trio
@@ -69,17 +69,18 @@
         The deployment's own weights.
     costs : CostModel
         What moving weights costs this group.
-
-    Attributes
-    ----------
-    frozen : bool
-        Whether automatic moves are stopped.
+    is_frozen : callable
+        Tells whether operators have stopped automatic moves.
     """
 
     def __init__(
-        self, coordinator: MapCoordinator, weights: PlannerWeights, costs: CostModel
+        self,
+        coordinator: MapCoordinator,
+        weights: PlannerWeights,
+        costs: CostModel,
+        is_frozen: Callable[[], bool] = lambda: False,
     ):
-        self.frozen = False
+        self._is_frozen = is_frozen
         self._coordinator = coordinator
         self._planner = Planner(weights, costs)
         self._loads: LoadEstimator | None = None
@@ -106,7 +107,7 @@
             is_leading=self._coordinator.is_leading,
             map_version=0 if current is None else current.map_id.version,
             preparing_version=0 if preparing is None else preparing.version,
-            frozen=self.frozen,
+            frozen=self._is_frozen(),
             skew=self._skew,
             n_experts_moved=self._n_moved,
             reason=self._reason,
@@ -130,7 +131,7 @@
                 await trio.sleep(PLAN_INTERVAL_MS / 1000)
                 if not self._coordinator.is_leading:
                     continue
-                if not self.frozen:
+                if not self._is_frozen():
                     await self.rebalance()
                 else:
                     async with self._changing:
--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -22,14 +22,23 @@
 import trio
 from prometheus_client import REGISTRY, generate_latest
 
-from ..coordination import ConfigurationSync
+from ..coordination import ConfigurationSync, FenceKeeper
+from ..coordination.expert_maps import HttpEngineControl, MapKeeper
+from ..coordination.group_set import map_role
+from ..coordination.roles import slot_of
 from ..protocol import Peers, ProcessIdentity
 from ..protocol.identity import new_start_id
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
 from ..state import ConfigurationView, HttpObjectStore
 from ..telemetry import get_logger
-from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from ..transport import (
+    Address,
+    HttpClient,
+    WebSocketNetwork,
+    asgi_application,
+    serve_http,
+)
 from .monitoring import Monitoring
 from .settings import AgentSettings
 from .startup import load, wait_for_stop
@@ -65,11 +74,20 @@
     store = HttpObjectStore(settings["platform_url"])
     configuration = ConfigurationSync(peers, store, ConfigurationView())
     executor = Executor(peers, upstream)
+    if upstream.kind is UpstreamKind.ENGINE:
+        lease = slot_of(map_role(upstream.name))
+        fences = FenceKeeper(peers, store, upstream.name, lease, lambda: None)
+        engine = HttpEngineControl(HttpClient(upstream.url, n_connections=8))
+        ranks = section.get("ranks", [])
+        keeper = MapKeeper(peers, upstream.name, engine, fences, ranks)
     monitoring = Monitoring(
         lambda: generate_latest(REGISTRY), lambda: _missing(executor, configuration)
     )
     async with trio.open_nursery() as nursery:
         await executor.start(nursery)
+        if "ranks" in section and upstream.kind is UpstreamKind.ENGINE:
+            await fences.start(nursery)
+            await keeper.start(nursery)
         await peers.start(nursery)
         await configuration.start(nursery)
         await nursery.start(
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -21,7 +21,14 @@
 
 import trio
 
-from ..coordination import ConfigurationSync, HostList, ListedMembers
+from ..coordination import (
+    ConfigurationSync,
+    ControlRoles,
+    HostList,
+    ListedMembers,
+)
+from ..coordination.expert_maps import GroupHost
+from ..coordination.group_set import GroupSet, map_role
 from ..errors import PeerUnreachable
 from ..operations import (
     DeploymentStatus,
@@ -38,7 +45,7 @@
     Relay,
     Router,
 )
-from ..state import ConfigurationView, HttpObjectStore
+from ..state import ConfigurationView, HttpObjectStore, Writer
 from ..telemetry import RequestMetrics, get_logger
 from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
 from .monitoring import Monitoring
@@ -48,6 +55,7 @@
 __all__ = ["main"]
 
 CONNECT_INTERVAL_S = 0.5
+GIVE_UP_ROLES_S = 2.0
 
 log = get_logger("entry")
 
@@ -82,8 +90,19 @@
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
-    status = DeploymentStatus(peers, configuration, view, hosts)
-    operations = OperationsService(store, view, status)
+    writer = Writer(store)
+    roles = ControlRoles(
+        store,
+        writer,
+        identity,
+        lambda: [host.name for host in hosts.with_role("entry")],
+        lambda: [map_role(name) for name, _ in view.specs("modelgroups")],
+    )
+    groups = GroupSet(
+        peers, store, writer, view, roles, lambda name: _group_hosts(agents, name)
+    )
+    status = DeploymentStatus(peers, configuration, view, hosts, rebalancing=groups)
+    operations = OperationsService(store, view, status, groups)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
@@ -96,6 +115,8 @@
                 Address.parse(settings["metrics_listen"]),
             )
         await configuration.ready.wait()
+        await roles.start(nursery)
+        await groups.start(nursery)
         await nursery.start(
             serve_http,
             asgi_application(gateway.handle),
@@ -110,6 +131,9 @@
         await wait_for_stop(lambda: gateway.n_open)
         while gateway.n_open:
             await trio.sleep(0.05)
+        await groups.close()
+        with trio.move_on_after(GIVE_UP_ROLES_S):
+            await roles.close()
         await peers.close()
         nursery.cancel_scope.cancel()
 
@@ -142,6 +166,10 @@
     return missing
 
 
+def _group_hosts(agents: AgentTable, group: str) -> list[GroupHost]:
+    return [GroupHost(view.identity.name, view.address) for view in agents.views(group)]
+
+
 def _entry_addresses(hosts: HostList) -> list[Address]:
     return [
         Address.parse(host.callers_address)
--- a/poplarward/programs/settings.py
+++ b/poplarward/programs/settings.py
@@ -47,12 +47,17 @@
 
 @with_config({"extra": "forbid"})
 class UpstreamSection(TypedDict):
-    """The upstream that an agent stands before."""
+    """The upstream that an agent stands before.
+
+    ``ranks`` numbers the ranks of its model group that an engine's host runs; without
+    them the host takes no part in changes of the expert map.
+    """
 
     kind: Literal["engine", "plain"]
     name: str
     url: str
     n_slots: int
+    ranks: NotRequired[list[int]]
 
 
 @with_config({"extra": "forbid"})
