--- a/poplarward/coordination/group_set.py
+++ b/poplarward/coordination/group_set.py
@@ -16,9 +16,9 @@
 from .expert_maps import ChangeOutcome, GroupHost, MapCoordinator, MapRecord
 from .model_groups import GroupController, GroupState
 from .rebalancing import CostModel, PlannerWeights
-from .roles import ControlRoles
+from .roles import ControlRoles, map_role
 
-__all__ = ["GroupSet", "map_role"]
+__all__ = ["GroupSet"]
 
 REVIEW_INTERVAL_S = 1.0
 LINK_BYTES_PER_S = 1e9
@@ -28,11 +28,6 @@
 EVEN_WEIGHTS = PlannerWeights(1.0, 1.0)
 
 
-def map_role(group: str) -> str:
-    """Return the control role of a group's expert map."""
-    return f"map/{group}"
-
-
 class _Running(NamedTuple):
     controller: GroupController
     spec: dict[str, Any]
--- a/poplarward/coordination/hosts.py
+++ b/poplarward/coordination/hosts.py
@@ -36,6 +36,8 @@
         Where the process accepts connections of other processes.
     callers_address : Address, optional
         Where an entry host takes callers' requests.
+    upstream : str, optional
+        Model group or plain service that an agent belongs to.
     """
 
     name: str
@@ -44,6 +46,7 @@
     state: Literal["live", "leaving"]
     peers_address: str
     callers_address: str = ""
+    upstream: str = ""
 
     @property
     def peers(self) -> Address:
@@ -70,6 +73,10 @@
         self.on_change: list[Callable[[], None]] = []
         self._client = HttpClient(base_url, n_connections=2)
 
+    def hosts_now(self) -> list[HostEntry]:
+        """Return the hosts of the last list."""
+        return list(self.hosts.values())
+
     def with_role(self, role: str) -> list[HostEntry]:
         """Return the hosts of a role, ordered by name."""
         found = [host for host in self.hosts.values() if host.role == role]
--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -22,9 +22,8 @@
 import trio
 from prometheus_client import REGISTRY, generate_latest
 
-from ..coordination import ConfigurationSync, FenceKeeper
+from ..coordination import ConfigurationSync, FenceKeeper, Presence, map_role
 from ..coordination.expert_maps import HttpEngineControl, MapKeeper
-from ..coordination.group_set import map_role
 from ..coordination.roles import slot_of
 from ..protocol import Peers, ProcessIdentity
 from ..protocol.identity import new_start_id
@@ -80,6 +79,7 @@
         engine = HttpEngineControl(HttpClient(upstream.url, n_connections=8))
         ranks = section.get("ranks", [])
         keeper = MapKeeper(peers, upstream.name, engine, fences, ranks)
+    presence = Presence(peers)
     monitoring = Monitoring(
         lambda: generate_latest(REGISTRY), lambda: _missing(executor, configuration)
     )
@@ -97,6 +97,7 @@
         )
         log.info("agent.started", name=settings["name"], upstream=upstream.name)
         await wait_for_stop(lambda: executor.n_attempts)
+        presence.leave()
         await executor.drain()
         await peers.close()
         await executor.close()
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -25,11 +25,13 @@
     ConfigurationSync,
     ControlRoles,
     HostList,
-    ListedMembers,
+    LeaseTiming,
+    Membership,
+    Presence,
+    map_role,
 )
 from ..coordination.expert_maps import GroupHost
-from ..coordination.group_set import GroupSet, map_role
-from ..errors import PeerUnreachable
+from ..coordination.group_set import GroupSet
 from ..operations import (
     DeploymentStatus,
     OperationsService,
@@ -39,6 +41,7 @@
 from ..protocol.identity import new_start_id
 from ..requests import (
     Admission,
+    AgentConnections,
     AgentTable,
     AttemptLoop,
     Gateway,
@@ -54,8 +57,8 @@
 
 __all__ = ["main"]
 
-CONNECT_INTERVAL_S = 0.5
-GIVE_UP_ROLES_S = 2.0
+LEASE_LENGTH_MS = 6000.0
+RELEASE_TIMEOUT_S = 2.0
 
 log = get_logger("entry")
 
@@ -79,25 +82,39 @@
     hosts = HostList(settings["platform_url"])
     view = ConfigurationView()
     peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
-    configuration = ConfigurationSync(peers, store, view, ListedMembers(hosts))
+    presence = Presence(peers, settings["callers_listen"])
+    membership = Membership(peers, presence, hosts.hosts_now, seed=identity.start_id)
+    writer = Writer(store, identity.start_id)
+    roles = ControlRoles(
+        store,
+        writer,
+        identity,
+        lambda: [member.identity.name for member in membership.live("entry")],
+        lambda: [map_role(name) for name, _ in view.specs("modelgroups")],
+        LeaseTiming.of_length(settings.get("lease_length_ms", LEASE_LENGTH_MS)),
+    )
+    configuration = ConfigurationSync(peers, store, view, membership)
     agents = AgentTable(peers)
     relay = Relay(peers)
-    attempts = AttemptLoop(peers, relay, Router(agents))
+    router = Router(
+        agents,
+        leaving=lambda: membership.not_live("agent"),
+        data_centre=settings["data_centre"],
+        far_cost_requests=settings.get("far_cost_requests", 0.0),
+    )
+    connections = AgentConnections(peers, agents, lambda: hosts.hosts.values())
+    attempts = AttemptLoop(peers, relay, router)
     metrics = RequestMetrics()
     gateway = Gateway(
-        view, Admission(), attempts, lambda: _entry_addresses(hosts), metrics
+        view,
+        Admission(),
+        attempts,
+        lambda: _entry_addresses(membership, settings),
+        metrics,
     )
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
-    writer = Writer(store)
-    roles = ControlRoles(
-        store,
-        writer,
-        identity,
-        lambda: [host.name for host in hosts.with_role("entry")],
-        lambda: [map_role(name) for name, _ in view.specs("modelgroups")],
-    )
     groups = GroupSet(
         peers, store, writer, view, roles, lambda name: _group_hosts(agents, name)
     )
@@ -106,8 +123,10 @@
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
+        await membership.start(nursery)
         await configuration.start(nursery)
-        nursery.start_soon(_connect_agents, hosts, peers)
+        await roles.start(nursery)
+        nursery.start_soon(connections.run)
         if "metrics_listen" in settings:
             await nursery.start(
                 serve_http,
@@ -115,7 +134,6 @@
                 Address.parse(settings["metrics_listen"]),
             )
         await configuration.ready.wait()
-        await roles.start(nursery)
         await groups.start(nursery)
         await nursery.start(
             serve_http,
@@ -129,31 +147,16 @@
         )
         log.info("entry.started", name=settings["name"], revision=view.revision)
         await wait_for_stop(lambda: gateway.n_open)
-        while gateway.n_open:
-            await trio.sleep(0.05)
         await groups.close()
-        with trio.move_on_after(GIVE_UP_ROLES_S):
+        await membership.close()
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
             await roles.close()
+        while gateway.n_open:
+            await trio.sleep(0.05)
         await peers.close()
         nursery.cancel_scope.cancel()
 
 
-async def _connect_agents(hosts: HostList, peers: Peers) -> None:
-    """Keep a connection to every listed agent."""
-    while True:
-        async with trio.open_nursery() as nursery:
-            for host in hosts.with_role("agent"):
-                nursery.start_soon(_try_connect, peers, host.peers)
-        await trio.sleep(CONNECT_INTERVAL_S)
-
-
-async def _try_connect(peers: Peers, address: Address) -> None:
-    try:
-        await peers.connection(address)
-    except PeerUnreachable as error:
-        log.debug("agent.unreachable", address=str(address), reason=str(error))
-
-
 def _missing(
     configuration: ConfigurationSync, hosts: HostList, peers: Peers
 ) -> list[str]:
@@ -170,12 +173,12 @@
     return [GroupHost(view.identity.name, view.address) for view in agents.views(group)]
 
 
-def _entry_addresses(hosts: HostList) -> list[Address]:
-    return [
-        Address.parse(host.callers_address)
-        for host in hosts.with_role("entry")
-        if host.state == "live"
-    ]
+def _entry_addresses(membership: Membership, settings: EntrySettings) -> list[Address]:
+    """Return the callers' addresses of the live entry hosts, near ones first."""
+    own = settings["data_centre"]
+    entries = [member for member in membership.live("entry") if member.callers_address]
+    entries.sort(key=lambda m: (m.identity.data_centre != own, m.identity.name))
+    return [Address.parse(member.callers_address) for member in entries]
 
 
 if __name__ == "__main__":
