Take a group's hosts from the platform's list; split the map's larger modules

Ruled out: connecting to every agent again.

The change: the hosts of a group are those that the platform lists for it, leaving ones included. Results, ballots and reports stand in modules of their own.

--- a/poplarward/coordination/expert_maps/__init__.py
+++ b/poplarward/coordination/expert_maps/__init__.py
@@ -5,11 +5,12 @@
 votes alone, so that any process that can read the votes can finish it.
 """
 
-from .coordinator import ChangeOutcome, ChangeResult, GroupHost, MapCoordinator
+from .coordinator import MapCoordinator
 from .engine import EngineControl, EngineStatus, Hold
 from .http_engine import HttpEngineControl
 from .keeper import MapKeeper
 from .record import MapRecord
+from .results import ChangeOutcome, ChangeResult, GroupHost
 from .votes import decide
 
 __all__ = [
--- a/poplarward/coordination/expert_maps/coordinator.py
+++ b/poplarward/coordination/expert_maps/coordinator.py
@@ -9,15 +9,13 @@
 
 import itertools
 from collections.abc import Callable, Sequence
-from enum import StrEnum
-from typing import Any, NamedTuple
+from typing import Any
 
 import trio
 
 from ...errors import PeerTimeout, PeerUnreachable, StoreUnavailable, WriteUnknown
 from ...protocol import Peers
 from ...protocol.expert_maps import (
-    Decision,
     GetHostState,
     GetMap,
     HostState,
@@ -33,12 +31,12 @@
 )
 from ...protocol.peers import CallRefused
 from ...telemetry import get_logger
-from ...transport import Address
 from ..rebalancing import Move, apply_moves
 from .record import MapRecord, RecordedMap
+from .results import OUTCOMES, ChangeOutcome, ChangeResult, GroupHost, not_started
 from .votes import announce, ask_votes, decide
 
-__all__ = ["ChangeOutcome", "ChangeResult", "GroupHost", "MapCoordinator"]
+__all__ = ["MapCoordinator"]
 
 STATE_TIMEOUT_MS = 1000.0
 STAGE_TIMEOUT_MS = 60_000.0
@@ -49,36 +47,6 @@
 log = get_logger("maps")
 
 
-class GroupHost(NamedTuple):
-    """A host of the group, as membership knows it."""
-
-    name: str
-    address: Address
-
-
-class ChangeOutcome(StrEnum):
-    """How an attempt at a change ended."""
-
-    COMMITTED = "committed"
-    ABORTED = "aborted"
-    NOT_STARTED = "not-started"
-    UNSETTLED = "unsettled"
-
-
-_OUTCOMES = {
-    Decision.COMMIT: ChangeOutcome.COMMITTED,
-    Decision.ABORT: ChangeOutcome.ABORTED,
-}
-
-
-class ChangeResult(NamedTuple):
-    """Outcome of an attempt, with its reason if it was not committed."""
-
-    outcome: ChangeOutcome
-    map_id: MapId | None = None
-    reason: str = ""
-
-
 class MapCoordinator:
     """Changes the map of one group while its fence is held.
 
@@ -165,11 +133,11 @@
         """
         fence = self._fence()
         if fence is None:
-            return _not_started("the lease is not held")
+            return not_started("the lease is not held")
         if not await self.load() or self.current is None:
-            return _not_started("the state of the group is not known")
+            return not_started("the state of the group is not known")
         if not await self._ensure_recorded():
-            return _not_started("the map in force is not recorded in the store")
+            return not_started("the map in force is not recorded in the store")
         base = self.current.map_id
         map_id = MapId(base.version + 1, fence, next(self._attempts))
         self.preparing = map_id
@@ -224,7 +192,7 @@
             reason = "the lease was lost; the hosts settle it"
             return ChangeResult(ChangeOutcome.UNSETTLED, map_id, reason)
         await announce(self._peers, self._group, map_id, decision, members)
-        outcome = _OUTCOMES[decision]
+        outcome = OUTCOMES[decision]
         log.info("map.settled", group=self._group, version=map_id.version, at=outcome)
         return ChangeResult(outcome, map_id, "; ".join(reasons))
 
@@ -302,10 +270,6 @@
             return None
 
 
-def _not_started(reason: str) -> ChangeResult:
-    return ChangeResult(ChangeOutcome.NOT_STARTED, None, reason)
-
-
 def _vote_of(reply: Any) -> Vote:
     return reply.vote if isinstance(reply, VoteReply) else Vote.UNKNOWN
 
--- a/poplarward/coordination/expert_maps/keeper.py
+++ b/poplarward/coordination/expert_maps/keeper.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import base64
 from collections import OrderedDict
 from collections.abc import Sequence
 
@@ -21,19 +20,14 @@
     StaleFence,
     WeightsUnavailable,
 )
-from ...protocol import Connection, Peers, decode, encode
+from ...protocol import Connection, Peers
 from ...protocol.expert_maps import (
     AskVote,
     Decided,
     Decision,
-    ExpertCounts,
-    GetExpertCounts,
     GetHostState,
-    GetMap,
     HostState,
-    MapContents,
     MapId,
-    Member,
     PrepareMap,
     Staged,
     StageMap,
@@ -42,7 +36,9 @@
 )
 from ...telemetry import get_logger
 from ..fencing import FenceKeeper
+from .ballots import note_of, others_in, position, request_in, vote_in
 from .engine import EngineControl, EngineStatus
+from .reports import register_reports
 from .votes import announce, ask_votes, decide
 
 __all__ = ["MapKeeper"]
@@ -94,8 +90,7 @@
         peers.register(AskVote, self._on_ask_vote)
         peers.register(Decided, self._on_decided)
         peers.register(GetHostState, self._on_get_state)
-        peers.register(GetMap, self._on_get_map)
-        peers.register(GetExpertCounts, self._on_get_counts)
+        register_reports(peers, engine)
 
     @property
     def has_voted(self) -> bool:
@@ -152,15 +147,16 @@
         """Hold the ranks, which is a vote of ready, or note a vote of no."""
         map_id = request.map_id
         status = await self._engine.status()
-        vote = _vote_in(status, map_id)
+        vote = vote_in(status, map_id)
         if vote is Vote.COMMITTED:
             self._remember(map_id, vote)
             return
         if vote is None:
             try:
                 self._check(request, status)
-                note = base64.b64encode(encode(request)).decode()
-                await self._engine.hold(map_id.fence, map_id, request.step, note)
+                await self._engine.hold(
+                    map_id.fence, map_id, request.step, note_of(request)
+                )
             except (EngineRefused, StaleFence) as error:
                 self._remember(map_id, Vote.NO, str(error))
                 log.info("map.refused", group=self._group, reason=str(error))
@@ -196,7 +192,7 @@
         """Return the vote that was given, or vote no."""
         if map_id in self._votes:
             return self._votes[map_id][0]
-        vote = _vote_in(await self._engine.status(), map_id)
+        vote = vote_in(await self._engine.status(), map_id)
         if vote is not Vote.READY:
             vote = vote or Vote.NO
             self._remember(map_id, vote, "asked before it was told to prepare")
@@ -229,17 +225,6 @@
             members=[] if undecided is None else undecided.members,
         )
 
-    async def _on_get_map(self, connection: Connection, request: GetMap) -> MapContents:
-        status = await self._engine.status()
-        return MapContents(status.active, await self._engine.layers())
-
-    async def _on_get_counts(
-        self, connection: Connection, request: GetExpertCounts
-    ) -> ExpertCounts:
-        status = await self._engine.status()
-        counts = await self._engine.counts()
-        return ExpertCounts(status.step, status.active, counts)
-
     async def _adopt_at_start(self) -> None:
         """Settle an attempt that an earlier start of the agent voted for."""
         while True:
@@ -257,8 +242,8 @@
             if hold is None or self._undecided is not None:
                 return
             try:
-                request = decode(base64.b64decode(hold.note))
-            except (DecodeError, ValueError) as error:
+                request = request_in(hold.note)
+            except DecodeError as error:
                 log.error("map.unreadable_hold", reason=str(error))
                 return
             self._begin_settling(request)
@@ -270,9 +255,9 @@
 
     async def _settle(self, request: PrepareMap) -> None:
         """Ask the other hosts for their votes until the decision is known."""
-        others = self._others(request)
+        others = others_in(request, self._peers.identity.name)
         # Spread, so that the first to ask can tell the others.
-        pause_ms = ASK_AFTER_MS * (1 + self._position(request))
+        pause_ms = ASK_AFTER_MS * (1 + position(request, self._peers.identity.name))
         while True:
             await trio.sleep(pause_ms / 1000)
             if self._undecided is not request:
@@ -288,15 +273,6 @@
                 return
             pause_ms = min(2 * pause_ms, MAX_ASK_PAUSE_MS)
 
-    def _position(self, request: PrepareMap) -> float:
-        """Return this host's place among the members, from 0 to 1."""
-        names = [member.name for member in request.members]
-        return names.index(self._peers.identity.name) / len(names)
-
-    def _others(self, request: PrepareMap) -> list[Member]:
-        own = self._peers.identity.name
-        return [member for member in request.members if member.name != own]
-
     async def _carry_out(self, request: PrepareMap, decision: Decision) -> None:
         """Release the engine; repeats the order until the engine has answered."""
         map_id = request.map_id
@@ -322,12 +298,3 @@
         self._votes[map_id] = (vote, reason)
         if len(self._votes) > MAX_REMEMBERED_VOTES:
             self._votes.popitem(last=False)
-
-
-def _vote_in(status: EngineStatus, map_id: MapId) -> Vote | None:
-    """Return the vote that the engine's state stands for, None if there is none."""
-    if map_id in (status.active, status.pending):
-        return Vote.COMMITTED
-    if status.hold is not None and status.hold.map_id == map_id:
-        return Vote.READY
-    return None
--- /dev/null
+++ b/poplarward/coordination/expert_maps/reports.py
@@ -0,0 +1,31 @@
+"""Tells coordinators the map in use on a host, and the counts of its ranks."""
+
+from __future__ import annotations
+
+from ...protocol import Connection, Peers
+from ...protocol.expert_maps import (
+    ExpertCounts,
+    GetExpertCounts,
+    GetMap,
+    MapContents,
+)
+from .engine import EngineControl
+
+__all__ = ["register_reports"]
+
+
+def register_reports(peers: Peers, engine: EngineControl) -> None:
+    """Answer questions about an engine's map and counts."""
+
+    async def on_get_map(connection: Connection, request: GetMap) -> MapContents:
+        status = await engine.status()
+        return MapContents(status.active, await engine.layers())
+
+    async def on_get_counts(
+        connection: Connection, request: GetExpertCounts
+    ) -> ExpertCounts:
+        status = await engine.status()
+        return ExpertCounts(status.step, status.active, await engine.counts())
+
+    peers.register(GetMap, on_get_map)
+    peers.register(GetExpertCounts, on_get_counts)
--- /dev/null
+++ b/poplarward/coordination/expert_maps/results.py
@@ -0,0 +1,46 @@
+"""How attempts to change a map end."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from ...protocol.expert_maps import Decision, MapId
+from ...transport import Address
+
+__all__ = ["OUTCOMES", "ChangeOutcome", "ChangeResult", "GroupHost", "not_started"]
+
+
+class GroupHost(NamedTuple):
+    """A host of the group, as membership knows it."""
+
+    name: str
+    address: Address
+
+
+class ChangeOutcome(StrEnum):
+    """How an attempt at a change ended."""
+
+    COMMITTED = "committed"
+    ABORTED = "aborted"
+    NOT_STARTED = "not-started"
+    UNSETTLED = "unsettled"
+
+
+OUTCOMES = {
+    Decision.COMMIT: ChangeOutcome.COMMITTED,
+    Decision.ABORT: ChangeOutcome.ABORTED,
+}
+
+
+class ChangeResult(NamedTuple):
+    """Outcome of an attempt, with its reason if it was not committed."""
+
+    outcome: ChangeOutcome
+    map_id: MapId | None = None
+    reason: str = ""
+
+
+def not_started(reason: str) -> ChangeResult:
+    """Return the result of an attempt that asked nothing of any host."""
+    return ChangeResult(ChangeOutcome.NOT_STARTED, None, reason)
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -116,7 +116,7 @@
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
     groups = GroupSet(
-        peers, store, writer, view, roles, lambda name: _group_hosts(agents, name)
+        peers, store, writer, view, roles, lambda name: _group_hosts(hosts, name)
     )
     status = DeploymentStatus(peers, configuration, view, hosts, rebalancing=groups)
     operations = OperationsService(store, view, status, groups)
@@ -169,8 +169,13 @@
     return missing
 
 
-def _group_hosts(agents: AgentTable, group: str) -> list[GroupHost]:
-    return [GroupHost(view.identity.name, view.address) for view in agents.views(group)]
+def _group_hosts(hosts: HostList, group: str) -> list[GroupHost]:
+    """Return the listed hosts of a group, those that are leaving included."""
+    return [
+        GroupHost(host.name, host.peers)
+        for host in hosts.with_role("agent")
+        if host.upstream == group
+    ]
 
 
 def _entry_addresses(membership: Membership, settings: EntrySettings) -> list[Address]:
