--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -165,8 +165,12 @@
         upstream: str,
         url: str,
         n_slots: int = 32,
+        ranks: list[int] | None = None,
     ) -> ManagedProcess:
-        """Start an agent, list it, and wait until it serves."""
+        """Start an agent, list it, and wait until it serves.
+
+        With `ranks` it takes part in changes of its group's expert map.
+        """
         host = self.new_host()
         self.settings[name] = {
             "name": name,
@@ -183,6 +187,8 @@
             },
             **self.tls_sections.get("agent", {}),
         }
+        if ranks is not None:
+            self.settings[name]["upstream"]["ranks"] = ranks
         await self.list_host(name)
         return await self.restart(name)
 
--- a/poplarward/coordination/expert_maps/coordinator.py
+++ b/poplarward/coordination/expert_maps/coordinator.py
@@ -9,15 +9,13 @@
 
 import itertools
 from collections.abc import Callable, Sequence
-from enum import StrEnum
-from typing import Any, NamedTuple
+from typing import Any
 
 import trio
 
 from ...errors import PeerTimeout, PeerUnreachable, StoreUnavailable, WriteUnknown
 from ...protocol import Peers
 from ...protocol.expert_maps import (
-    Decision,
     GetHostState,
     GetMap,
     HostState,
@@ -33,12 +31,12 @@
 )
 from ...protocol.peers import CallRefused
 from ...telemetry import get_logger
-from ...transport import Address
 from ..rebalancing import Move, apply_moves
 from .record import MapRecord, RecordedMap
+from .results import OUTCOMES, ChangeOutcome, ChangeResult, GroupHost, not_started
 from .votes import announce, ask_votes, decide
 
-__all__ = ["ChangeOutcome", "ChangeResult", "GroupHost", "MapCoordinator"]
+__all__ = ["MapCoordinator"]
 
 STATE_TIMEOUT_MS = 1000.0
 STAGE_TIMEOUT_MS = 60_000.0
@@ -49,36 +47,6 @@
 log = get_logger("maps")
 
 
-class GroupHost(NamedTuple):
-    """A host of the group, as membership knows it."""
-
-    name: str
-    address: Address
-
-
-class ChangeOutcome(StrEnum):
-    """How an attempt at a change ended."""
-
-    COMMITTED = "committed"
-    ABORTED = "aborted"
-    NOT_STARTED = "not-started"
-    UNSETTLED = "unsettled"
-
-
-_OUTCOMES = {
-    Decision.COMMIT: ChangeOutcome.COMMITTED,
-    Decision.ABORT: ChangeOutcome.ABORTED,
-}
-
-
-class ChangeResult(NamedTuple):
-    """Outcome of an attempt, with its reason if it was not committed."""
-
-    outcome: ChangeOutcome
-    map_id: MapId | None = None
-    reason: str = ""
-
-
 class MapCoordinator:
     """Changes the map of one group while its fence is held.
 
@@ -91,7 +59,9 @@
     fence : callable
         The fencing number while the group's lease is surely held, otherwise None.
     hosts : callable
-        All hosts of the group.
+        The hosts of the group that are known.
+    n_ranks : callable
+        Ranks that the group has; no change starts unless its hosts run them all.
     record : MapRecord
         Where maps in force are recorded.
 
@@ -111,6 +81,7 @@
         group: str,
         fence: Callable[[], int | None],
         hosts: Callable[[], Sequence[GroupHost]],
+        n_ranks: Callable[[], int],
         record: MapRecord,
         lead_steps: int = LEAD_STEPS,
     ):
@@ -121,10 +92,21 @@
         self._group = group
         self._fence = fence
         self._hosts = hosts
+        self._n_ranks = n_ranks
         self._record = record
         self._attempts = itertools.count(1)
         self._is_recorded = False
 
+    @property
+    def is_leading(self) -> bool:
+        """Whether the group's lease is surely held."""
+        return self._fence() is not None
+
+    @property
+    def group(self) -> str:
+        """Name of the model group."""
+        return self._group
+
     async def load(self) -> bool:
         """Settle what earlier coordinators left and read the map in force.
 
@@ -151,11 +133,11 @@
         """
         fence = self._fence()
         if fence is None:
-            return _not_started("the lease is not held")
+            return not_started("the lease is not held")
         if not await self.load() or self.current is None:
-            return _not_started("the state of the group is not known")
+            return not_started("the state of the group is not known")
         if not await self._ensure_recorded():
-            return _not_started("the map in force is not recorded in the store")
+            return not_started("the map in force is not recorded in the store")
         base = self.current.map_id
         map_id = MapId(base.version + 1, fence, next(self._attempts))
         self.preparing = map_id
@@ -179,7 +161,7 @@
     ) -> str | None:
         """Get the weights in place on every host; returns why that failed."""
         request = StageMap(self._group, map_id, base, changes)
-        replies = await self._call_all(request, STAGE_TIMEOUT_MS)
+        replies = await self.ask_hosts(request, STAGE_TIMEOUT_MS)
         for host, reply in replies.items():
             if not isinstance(reply, Staged) or not reply.is_staged:
                 reason = getattr(reply, "reason", "no answer")
@@ -197,7 +179,7 @@
         ]
         step = max(state.step for state in states.values()) + self.lead_steps
         request = PrepareMap(self._group, map_id, base, step, members)
-        replies = await self._call_all(request, PREPARE_TIMEOUT_MS)
+        replies = await self.ask_hosts(request, PREPARE_TIMEOUT_MS)
         votes = [_vote_of(reply) for reply in replies.values()]
         reasons = [reply.reason for reply in replies.values() if _is_no(reply)]
         decision = decide(votes)
@@ -210,7 +192,7 @@
             reason = "the lease was lost; the hosts settle it"
             return ChangeResult(ChangeOutcome.UNSETTLED, map_id, reason)
         await announce(self._peers, self._group, map_id, decision, members)
-        outcome = _OUTCOMES[decision]
+        outcome = OUTCOMES[decision]
         log.info("map.settled", group=self._group, version=map_id.version, at=outcome)
         return ChangeResult(outcome, map_id, "; ".join(reasons))
 
@@ -235,11 +217,13 @@
             await announce(self._peers, self._group, map_id, decision, members)
 
     async def _states(self, fence: int) -> dict[GroupHost, HostState] | None:
-        """Return the states of the hosts, None unless all answer."""
+        """Return the states of the hosts, None unless all ranks are spoken for."""
         request = GetHostState(self._group, fence)
-        replies = await self._call_all(request, STATE_TIMEOUT_MS)
-        is_complete = all(isinstance(reply, HostState) for reply in replies.values())
-        return replies if replies and is_complete else None
+        replies = await self.ask_hosts(request, STATE_TIMEOUT_MS)
+        if not all(isinstance(reply, HostState) for reply in replies.values()):
+            return None
+        ranks = [rank for state in replies.values() for rank in state.ranks]
+        return replies if sorted(ranks) == list(range(self._n_ranks())) else None
 
     async def _read_map(self, active: MapId) -> RecordedMap | None:
         try:
@@ -266,8 +250,8 @@
                 log.info("map.not_recorded", group=self._group, reason=str(error))
         return self._is_recorded
 
-    async def _call_all(self, request: Any, timeout_ms: float) -> dict[GroupHost, Any]:
-        """Call every host; None stands for no answer."""
+    async def ask_hosts(self, request: Any, timeout_ms: float) -> dict[GroupHost, Any]:
+        """Call every host of the group; None stands for no answer."""
         replies: dict[GroupHost, Any] = dict.fromkeys(self._hosts())
 
         async def call(host: GroupHost) -> None:
@@ -286,10 +270,6 @@
             return None
 
 
-def _not_started(reason: str) -> ChangeResult:
-    return ChangeResult(ChangeOutcome.NOT_STARTED, None, reason)
-
-
 def _vote_of(reply: Any) -> Vote:
     return reply.vote if isinstance(reply, VoteReply) else Vote.UNKNOWN
 
--- a/poplarward/coordination/expert_maps/keeper.py
+++ b/poplarward/coordination/expert_maps/keeper.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
-import base64
 from collections import OrderedDict
+from collections.abc import Sequence
 
 import trio
 
@@ -17,19 +17,17 @@
     DecodeError,
     EngineRefused,
     EngineUnreachable,
+    StaleFence,
     WeightsUnavailable,
 )
-from ...protocol import Connection, Peers, decode, encode
+from ...protocol import Connection, Peers
 from ...protocol.expert_maps import (
     AskVote,
     Decided,
     Decision,
     GetHostState,
-    GetMap,
     HostState,
-    MapContents,
     MapId,
-    Member,
     PrepareMap,
     Staged,
     StageMap,
@@ -37,8 +35,10 @@
     VoteReply,
 )
 from ...telemetry import get_logger
+from ..fencing import FenceKeeper
+from .ballots import note_of, others_in, position, request_in, vote_in
 from .engine import EngineControl, EngineStatus
-from .fences import NO_FENCE, FenceMemory
+from .reports import register_reports
 from .votes import announce, ask_votes, decide
 
 __all__ = ["MapKeeper"]
@@ -62,17 +62,25 @@
         Name of the model group.
     engine : EngineControl
         The ranks of this host.
-    fences : FenceMemory
+    fences : FenceKeeper
         Greatest fencing number of the group.
+    ranks : sequence of int
+        Numbers of the ranks that this host runs.
     """
 
     def __init__(
-        self, peers: Peers, group: str, engine: EngineControl, fences: FenceMemory
+        self,
+        peers: Peers,
+        group: str,
+        engine: EngineControl,
+        fences: FenceKeeper,
+        ranks: Sequence[int],
     ):
         self._peers = peers
         self._group = group
         self._engine = engine
         self._fences = fences
+        self._ranks = list(ranks)
         self._lock = trio.Lock()
         self._undecided: PrepareMap | None = None
         self._votes: OrderedDict[MapId, tuple[Vote, str]] = OrderedDict()
@@ -82,7 +90,7 @@
         peers.register(AskVote, self._on_ask_vote)
         peers.register(Decided, self._on_decided)
         peers.register(GetHostState, self._on_get_state)
-        peers.register(GetMap, self._on_get_map)
+        register_reports(peers, engine)
 
     @property
     def has_voted(self) -> bool:
@@ -90,21 +98,24 @@
         return self._undecided is not None
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Begin to learn the fencing number and to settle what the engine holds."""
+        """Begin to settle what the engine holds; `fences` is started apart."""
         self._nursery = nursery
-        await self._fences.start(nursery)
         nursery.start_soon(self._adopt_at_start)
 
     async def _on_stage(self, connection: Connection, request: StageMap) -> Staged:
         map_id = request.map_id
-        if not self._fences.accepts(map_id.fence):
-            return Staged(map_id, False, self._fence_reason(map_id))
         try:
+            self._fences.guard.check(map_id.fence)
             status = await self._engine.status()
             if status.active != request.base or status.pending is not None:
                 return Staged(map_id, False, f"the map in use is {status.active}")
             await self._engine.stage(map_id.fence, map_id, request.changes)
-        except (EngineRefused, EngineUnreachable, WeightsUnavailable) as error:
+        except (
+            EngineRefused,
+            EngineUnreachable,
+            StaleFence,
+            WeightsUnavailable,
+        ) as error:
             return Staged(map_id, False, f"{type(error).__name__}: {error}")
         return Staged(map_id, True)
 
@@ -136,29 +147,29 @@
         """Hold the ranks, which is a vote of ready, or note a vote of no."""
         map_id = request.map_id
         status = await self._engine.status()
-        vote = _vote_in(status, map_id)
+        vote = vote_in(status, map_id)
         if vote is Vote.COMMITTED:
             self._remember(map_id, vote)
             return
         if vote is None:
             try:
                 self._check(request, status)
-                note = base64.b64encode(encode(request)).decode()
-                await self._engine.hold(map_id.fence, map_id, request.step, note)
-            except EngineRefused as error:
+                await self._engine.hold(
+                    map_id.fence, map_id, request.step, note_of(request)
+                )
+            except (EngineRefused, StaleFence) as error:
                 self._remember(map_id, Vote.NO, str(error))
                 log.info("map.refused", group=self._group, reason=str(error))
                 return
         self._begin_settling(request)
 
     def _check(self, request: PrepareMap, status: EngineStatus) -> None:
-        """Raise `EngineRefused` if the host can't vote ready."""
+        """Raise `EngineRefused` or `StaleFence` if the host can't vote ready."""
         map_id = request.map_id
         own = self._peers.identity
         if all(member[:2] != (own.name, own.start_id) for member in request.members):
             raise EngineRefused("the attempt does not name this start of the agent")
-        if not self._fences.accepts(map_id.fence):
-            raise EngineRefused(self._fence_reason(map_id))
+        self._fences.guard.check(map_id.fence)
         if self._undecided is not None:
             raise EngineRefused(f"{self._undecided.map_id} is not decided")
         if status.active != request.base or status.pending is not None:
@@ -181,7 +192,7 @@
         """Return the vote that was given, or vote no."""
         if map_id in self._votes:
             return self._votes[map_id][0]
-        vote = _vote_in(await self._engine.status(), map_id)
+        vote = vote_in(await self._engine.status(), map_id)
         if vote is not Vote.READY:
             vote = vote or Vote.NO
             self._remember(map_id, vote, "asked before it was told to prepare")
@@ -196,16 +207,17 @@
     async def _on_get_state(
         self, connection: Connection, request: GetHostState
     ) -> HostState:
-        if request.group == self._group and request.fence != NO_FENCE:
-            self._fences.accepts(request.fence)
+        try:
+            self._fences.guard.check(request.fence)
+        except StaleFence as error:
+            log.info("map.stale_question", group=self._group, reason=str(error))
         status = await self._engine.status()
         if status.hold is not None and self._undecided is None:
             await self._adopt()
         undecided = self._undecided
-        known = self._fences.known
         return HostState(
             start_id=self._peers.identity.start_id,
-            fence=NO_FENCE if known is None else known,
+            ranks=self._ranks,
             step=status.step,
             active=status.active,
             pending=status.pending,
@@ -213,10 +225,6 @@
             members=[] if undecided is None else undecided.members,
         )
 
-    async def _on_get_map(self, connection: Connection, request: GetMap) -> MapContents:
-        status = await self._engine.status()
-        return MapContents(status.active, await self._engine.layers())
-
     async def _adopt_at_start(self) -> None:
         """Settle an attempt that an earlier start of the agent voted for."""
         while True:
@@ -234,8 +242,8 @@
             if hold is None or self._undecided is not None:
                 return
             try:
-                request = decode(base64.b64decode(hold.note))
-            except (DecodeError, ValueError) as error:
+                request = request_in(hold.note)
+            except DecodeError as error:
                 log.error("map.unreadable_hold", reason=str(error))
                 return
             self._begin_settling(request)
@@ -247,9 +255,9 @@
 
     async def _settle(self, request: PrepareMap) -> None:
         """Ask the other hosts for their votes until the decision is known."""
-        others = self._others(request)
+        others = others_in(request, self._peers.identity.name)
         # Spread, so that the first to ask can tell the others.
-        pause_ms = ASK_AFTER_MS * (1 + self._position(request))
+        pause_ms = ASK_AFTER_MS * (1 + position(request, self._peers.identity.name))
         while True:
             await trio.sleep(pause_ms / 1000)
             if self._undecided is not request:
@@ -265,15 +273,6 @@
                 return
             pause_ms = min(2 * pause_ms, MAX_ASK_PAUSE_MS)
 
-    def _position(self, request: PrepareMap) -> float:
-        """Return this host's place among the members, from 0 to 1."""
-        names = [member.name for member in request.members]
-        return names.index(self._peers.identity.name) / len(names)
-
-    def _others(self, request: PrepareMap) -> list[Member]:
-        own = self._peers.identity.name
-        return [member for member in request.members if member.name != own]
-
     async def _carry_out(self, request: PrepareMap, decision: Decision) -> None:
         """Release the engine; repeats the order until the engine has answered."""
         map_id = request.map_id
@@ -282,7 +281,7 @@
                 if self._undecided is not request:
                     return
                 try:
-                    fence = max(map_id.fence, self._fences.greatest)
+                    fence = max(map_id.fence, self._fences.guard.greatest or 0)
                     switch = decision is Decision.COMMIT
                     await self._engine.release(fence, map_id, switch)
                 except (EngineUnreachable, EngineRefused) as error:
@@ -299,18 +298,3 @@
         self._votes[map_id] = (vote, reason)
         if len(self._votes) > MAX_REMEMBERED_VOTES:
             self._votes.popitem(last=False)
-
-    def _fence_reason(self, map_id: MapId) -> str:
-        known = self._fences.known
-        if known is None:
-            return "the group's fencing number is not known yet"
-        return f"fencing number {map_id.fence} is smaller than {known}"
-
-
-def _vote_in(status: EngineStatus, map_id: MapId) -> Vote | None:
-    """Return the vote that the engine's state stands for, None if there is none."""
-    if map_id in (status.active, status.pending):
-        return Vote.COMMITTED
-    if status.hold is not None and status.hold.map_id == map_id:
-        return Vote.READY
-    return None
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -31,6 +31,8 @@
     Presence,
     map_role,
 )
+from ..coordination.expert_maps import GroupHost
+from ..coordination.group_set import GroupSet
 from ..operations import (
     DeploymentStatus,
     OperationsService,
@@ -84,9 +86,10 @@
     peers = Peers(peers_network(settings), identity, settings["peer_secret"])
     presence = Presence(peers, settings["callers_listen"])
     membership = Membership(peers, presence, hosts.hosts_now, seed=identity.start_id)
+    writer = Writer(store, identity.start_id)
     roles = ControlRoles(
         store,
-        Writer(store, identity.start_id),
+        writer,
         identity,
         lambda: [member.identity.name for member in membership.live("entry")],
         lambda: [map_role(name) for name, _ in view.specs("modelgroups")],
@@ -116,8 +119,13 @@
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
-    status = DeploymentStatus(peers, configuration, view, membership, store)
-    operations = OperationsService(store, view, status)
+    groups = GroupSet(
+        peers, store, writer, view, roles, lambda name: _group_hosts(hosts, name)
+    )
+    status = DeploymentStatus(
+        peers, configuration, view, membership, store, rebalancing=groups
+    )
+    operations = OperationsService(store, view, status, groups)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
@@ -133,6 +141,7 @@
                 tls_files(settings, "metrics_tls"),
             )
         await configuration.ready.wait()
+        await groups.start(nursery)
         await nursery.start(
             serve_http,
             asgi_application(gateway.handle),
@@ -147,6 +156,7 @@
         )
         log.info("entry.started", name=settings["name"], revision=view.revision)
         await wait_for_stop(lambda: gateway.n_open)
+        await groups.close()
         await membership.close()
         with trio.move_on_after(RELEASE_TIMEOUT_S):
             await roles.close()
@@ -174,5 +184,14 @@
     return [m for m in membership.live("entry") if m.identity.name not in drained]
 
 
+def _group_hosts(hosts: HostList, group: str) -> list[GroupHost]:
+    """Return the listed hosts of a group, those that are leaving included."""
+    return [
+        GroupHost(host.name, host.peers)
+        for host in hosts.with_role("agent")
+        if host.upstream == group
+    ]
+
+
 if __name__ == "__main__":
     main()
