Run payments at most once for each idempotency key

Cause: a call that may not be repeated was forwarded as often as a caller sent it; its idempotency key was passed on and otherwise ignored.

A key seen before gets the recorded answer, "in progress" or unknown; another body is refused.

Found by a test and mended: a key whose issuer is gone was answered as not-run.

--- a/benchmarks/memory_path.py
+++ b/benchmarks/memory_path.py
@@ -51,7 +51,10 @@
     scheduling._ALLOW_DETERMINISTIC_SCHEDULING = True
     scheduling._r.seed(seed)
     clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, *args, clock=clock)
+    try:
+        return trio.run(function, *args, clock=clock)
+    finally:
+        scheduling._ALLOW_DETERMINISTIC_SCHEDULING = False
 
 
 class MemoryUpstream:
--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -27,6 +27,7 @@
 from ..protocol.identity import new_start_id
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
+from ..requests.payments import Payments
 from ..state import ConfigurationView, HttpObjectStore
 from ..telemetry import get_logger
 from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
@@ -64,7 +65,10 @@
     peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
     store = HttpObjectStore(settings["platform_url"])
     configuration = ConfigurationSync(peers, store, ConfigurationView())
-    executor = Executor(peers, upstream)
+    payments = None
+    if upstream.kind is UpstreamKind.PLAIN:
+        payments = Payments(store, identity, upstream.name, identity.start_id)
+    executor = Executor(peers, upstream, payments=payments)
     monitoring = Monitoring(
         lambda: generate_latest(REGISTRY), lambda: _missing(executor, configuration)
     )
--- /dev/null
+++ b/poplarward/protocol/payments.py
@@ -0,0 +1,19 @@
+"""Messages about idempotency keys that agents issue."""
+
+from __future__ import annotations
+
+from .codec import message
+
+__all__ = ["IssueKey", "KeyIssued"]
+
+
+@message(302)
+class IssueKey:
+    """Asks an agent of a plain service for a key."""
+
+
+@message(303)
+class KeyIssued:
+    """Reply to `IssueKey`; only this start of the agent runs the key's call."""
+
+    key: str
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -15,6 +15,8 @@
 from ..transport import Responder
 from .answers import Answer, AnswerChanged
 from .caller import CallerRequest
+from .key_issuer import KeyIssuer
+from .payments import rank_owners, read_issued_key
 from .relay import Relay
 from .retries import (
     Failure,
@@ -45,6 +47,15 @@
     Refusal.STORE_AWAY: (503, True),
 }
 
+ISSUER_GONE = Failure(
+    Outcome.UNKNOWN,
+    "the agent that issued the key is not reachable; an earlier request with the key "
+    "may have run",
+    409,
+    RETRY_AFTER_MS,
+    is_final=True,
+)
+
 log = get_logger("attempts")
 
 
@@ -64,12 +75,20 @@
         return max(0.0, (self.expires_at - trio.current_time()) * 1000)
 
     def seen(self) -> Progress:
-        return Progress(self.request.repeatable, self.n_attempts, self.left_ms)
+        may_repeat = self.request.repeatable or self.request.is_keyed
+        return Progress(may_repeat, self.n_attempts, self.left_ms)
 
 
 class AttemptLoop:
     """Attempts of requests, from the choice of an agent to the answer's end.
 
+    Attributes
+    ----------
+    n_attempts : int
+        Attempts made since the start.
+    keys : KeyIssuer
+        Obtains idempotency keys for callers.
+
     Parameters
     ----------
     peers, relay, router
@@ -86,6 +105,7 @@
         new_budget: Callable[[], RetryBudget] = RetryBudget,
     ):
         self.n_attempts = 0
+        self.keys = KeyIssuer(peers, router)
         self._peers = peers
         self._relay = relay
         self._router = router
@@ -103,8 +123,11 @@
             RETRY_AFTER_MS,
         )
         while True:
-            agent = self._router.choose(request, frozenset(progress.excluded))
+            agent = self._choose(progress)
             if agent is None:
+                if request.is_keyed and read_issued_key(request.idempotency_key):
+                    progress.outcome = Outcome.UNKNOWN
+                    last = ISSUER_GONE
                 break
             failure = await self._attempt(agent, progress)
             if failure is None:
@@ -122,9 +145,27 @@
             if isinstance(step, GiveUp):
                 last = failure._replace(reason=step.reason)
                 break
-            progress.excluded.add(agent.identity.name)
+            if failure.outcome is not Outcome.RAN:
+                progress.excluded.add(agent.identity.name)
         await self._give_up(progress, last)
 
+    def _choose(self, progress: _Progress) -> AgentView | None:
+        """Return the agent for the next attempt, or None."""
+        request = progress.request
+        if not request.is_keyed:
+            return self._router.choose(request, frozenset(progress.excluded))
+        live = {
+            view.identity.name: view
+            for view in self._router.live_agents(request.upstream, progress.excluded)
+        }
+        owners = rank_owners(
+            request.upstream,
+            request.workspace,
+            request.idempotency_key,
+            [view.identity for view in live.values()],
+        )
+        return live[owners[0]] if owners else None
+
     async def _give_up(self, progress: _Progress, last: Failure) -> None:
         """Answer with the outcome of all attempts, and when to come back."""
         outcome = progress.outcome
--- a/poplarward/requests/caller.py
+++ b/poplarward/requests/caller.py
@@ -32,3 +32,8 @@
     body: bytes
     idempotency_key: str
     prefix_digest: str = ""
+
+    @property
+    def is_keyed(self) -> bool:
+        """Whether an idempotency key decides if it may run."""
+        return bool(self.idempotency_key) and not self.repeatable
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -28,12 +28,14 @@
 from .health import UpstreamHealth
 from .outcomes import OutcomeRecord
 from .packing import PiecePacker
+from .payments import Declined, Payments, Record, Recorded
 from .reporting import LoadReporter
 from .upstream import Upstream, UpstreamClient, UpstreamSettings
 
 __all__ = ["Executor"]
 
 DRAIN_POLL_MS = 50.0
+FLUSH_TIMEOUT_MS = 5_000.0
 
 log = get_logger("executor")
 
@@ -58,6 +60,13 @@
         self.started = False
         self.barred = False
         self.n_pieces = submit.n_pieces_received
+        self.head: Head | None = None
+        self.body: list[bytes] = []
+
+    @property
+    def is_keyed(self) -> bool:
+        """Whether its key decides if it may run."""
+        return bool(self.submit.idempotency_key) and not self.submit.repeatable
 
     @property
     def has_piece(self) -> bool:
@@ -84,6 +93,8 @@
         What the agent stands before.
     client : UpstreamClient, optional
         Replaces the HTTP client in tests.
+    payments : Payments, optional
+        Lets the calls of each idempotency key run at most once.
     """
 
     def __init__(
@@ -91,12 +102,14 @@
         peers: Peers,
         settings: UpstreamSettings,
         client: UpstreamClient | None = None,
+        payments: Payments | None = None,
     ):
         self._is_leaving = False
         self._health = UpstreamHealth()
         self._peers = peers
         self._settings = settings
         self._upstream = Upstream(settings, client)
+        self._payments = payments
         self._slots = trio.Semaphore(settings.n_slots)
         self._attempts: dict[RequestId, _Attempt] = {}
         self._outcomes = OutcomeRecord()
@@ -109,6 +122,8 @@
         peers.register(Bar, self._on_bar)
         peers.register(AttemptQuery, self._on_query)
         peers.on_lost.append(self._on_lost)
+        if payments is not None:
+            payments.register(peers)
 
     @property
     def state(self) -> UpstreamState:
@@ -126,6 +141,8 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to run attempts and report load."""
         self._nursery = nursery
+        if self._payments is not None:
+            await self._payments.start(nursery)
         nursery.start_soon(self._reporter.run)
 
     async def close(self) -> None:
@@ -138,6 +155,8 @@
         await self._reporter.report_now()
         while self._attempts:
             await trio.sleep(DRAIN_POLL_MS / 1000)
+        if self._payments and not await self._payments.flush(FLUSH_TIMEOUT_MS):
+            log.warning("drain.unflushed", upstream=self._settings.name)
 
     async def _on_submit(self, connection: Connection, submit: Submit) -> None:
         assert self._nursery is not None
@@ -216,7 +235,10 @@
         attempt.scope.deadline = trio.current_time() + submit.deadline_ms / 1000
         end = None
         with attempt.scope:
-            end = await self._run_in_slot(attempt)
+            if self._payments is not None and attempt.is_keyed:
+                end = await self._run_once(attempt, self._payments)
+            else:
+                end = await self._run_in_slot(attempt)
         if end is None:
             end = _cut_short(attempt)
         self._outcomes.put(submit.request_id, end.outcome)
@@ -224,6 +246,30 @@
         attempt.ended.set()
         attempt.packer.end(end)
 
+    async def _run_once(self, attempt: _Attempt, payments: Payments) -> End | None:
+        """Run an attempt unless its key has been used; returns its end."""
+        submit = attempt.submit
+        match await payments.begin(submit):
+            case Recorded(record):
+                return _replay(attempt, record)
+            case Declined(refusal, outcome, reason, retry_after_ms):
+                return End(
+                    submit.request_id, outcome, 0, reason, retry_after_ms, refusal
+                )
+        end = None
+        try:
+            end = await self._run_in_slot(attempt)
+            return end
+        finally:
+            if not attempt.started or (end and end.outcome is Outcome.NOT_RUN):
+                payments.release(submit)
+            elif end and end.outcome is Outcome.RAN and attempt.head:
+                content_type = dict(attempt.head.headers).get("content-type", "")
+                body = b"".join(attempt.body)
+                payments.finish(submit, attempt.head.status, content_type, body)
+            else:
+                payments.lose(submit)
+
     async def _run_in_slot(self, attempt: _Attempt) -> End | None:
         async with self._slots:
             # A slot may be handed over in the same step as the bar was answered.
@@ -243,11 +289,14 @@
                 self._health.succeeded()
                 head = Head(submit.request_id, answer.status, answer.headers)
                 attempt.packer.head(head)
+                attempt.head = head
                 async for piece in answer.pieces():
                     attempt.packer.add(
                         submit.request_id, attempt.n_pieces, piece, answer.has_events
                     )
                     attempt.n_pieces += 1
+                    if attempt.is_keyed:
+                        attempt.body.append(piece)
             return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
         except UpstreamUnreachable as error:
             if not error.sent:
@@ -292,3 +341,17 @@
         reason = "stopped while it ran"
         return dataclasses.replace(end, outcome=Outcome.UNKNOWN, error=reason)
     return end
+
+
+def _replay(attempt: _Attempt, record: Record) -> End:
+    """Answer an attempt from the record of its key; returns its end."""
+    request_id = attempt.submit.request_id
+    if record.is_cut:
+        reason = f"it ran before with status {record.status}; its answer was not kept"
+        return End(request_id, Outcome.RAN, 0, reason)
+    headers = [("content-type", record.content_type)]
+    attempt.packer.head(Head(request_id, record.status, headers))
+    if record.body:
+        attempt.packer.add(request_id, 0, record.body, is_stream=False)
+        attempt.n_pieces = 1
+    return End(request_id, Outcome.RAN, attempt.n_pieces)
--- a/poplarward/requests/gateway.py
+++ b/poplarward/requests/gateway.py
@@ -16,7 +16,7 @@
 from .attempts import AttemptLoop
 from .caller import CallerError, CallerRequest
 from .directory import Directory
-from .reading import read_caller_request
+from .reading import read_caller_request, read_key_request
 
 __all__ = ["Gateway"]
 
@@ -75,12 +75,25 @@
             document = {"addresses": addresses, "keep_ms": ADDRESS_KEEP_MS}
             await responder.respond_json(200, document)
             return
+        if (request.method, request.path) == ("POST", "/v1/keys"):
+            await self._issue_key(request, responder)
+            return
         caller_request = await read_caller_request(request, self._directory)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(request.cancel_on_disconnect, nursery.cancel_scope)
             await self._run(caller_request, responder)
             nursery.cancel_scope.cancel()
 
+    async def _issue_key(self, request: HttpRequest, responder: Responder) -> None:
+        self._directory.workspace(request.headers.get("authorization", ""))
+        service = await read_key_request(request)
+        try:
+            key = await self._attempts.keys.issue(service)
+        except Refused as error:
+            await respond_error(responder, 503, str(error), error.retry_after_ms)
+            return
+        await responder.respond_json(201, {"idempotency_key": key})
+
     async def _run(self, request: CallerRequest, responder: Responder) -> None:
         labels = (request.workspace, request.priority_class.value)
         timer = self._metrics.timer(*labels)
--- /dev/null
+++ b/poplarward/requests/key_issuer.py
@@ -0,0 +1,47 @@
+"""Obtains idempotency keys from agents of plain services."""
+
+from __future__ import annotations
+
+import random
+
+from ..errors import PeerTimeout, PeerUnreachable, Refused
+from ..protocol import Peers
+from ..protocol.payments import IssueKey
+from ..protocol.peers import CallRefused
+from .routing import AgentView, Router
+
+__all__ = ["KeyIssuer"]
+
+ISSUE_TIMEOUT_MS = 1_000.0
+RETRY_AFTER_MS = 1_000
+
+
+class KeyIssuer:
+    """Asks an agent of a service for a key whose call it alone may run.
+
+    Parameters
+    ----------
+    peers, router
+        The entry host's links and its agents.
+    """
+
+    def __init__(self, peers: Peers, router: Router):
+        self._peers = peers
+        self._router = router
+        self._rng = random.Random(peers.identity.start_id)
+
+    def _shuffled(self, service: str) -> list[AgentView]:
+        views = self._router.live_agents(service)
+        return self._rng.sample(views, len(views))
+
+    async def issue(self, service: str) -> str:
+        """Return a new key; raises `Refused`."""
+        for view in self._shuffled(service):
+            try:
+                reply = await self._peers.call(
+                    view.address, IssueKey(), ISSUE_TIMEOUT_MS
+                )
+                return reply.key
+            except (PeerTimeout, PeerUnreachable, CallRefused):
+                continue
+        raise Refused(f"no upstream of {service} is live", RETRY_AFTER_MS)
--- /dev/null
+++ b/poplarward/requests/payments/keys.py
@@ -0,0 +1,81 @@
+"""Idempotency keys: their partitions, and those that the system issues."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from ...hashing import rendezvous_ranking
+from ...protocol import ProcessIdentity
+
+__all__ = ["IssuedKey", "partition_of", "rank_owners", "read_issued_key"]
+
+N_PARTITIONS = 16
+ISSUED_PREFIX = "issued"
+
+
+class IssuedKey(NamedTuple):
+    """A key that an agent issued; only that start of it may run the call.
+
+    Attributes
+    ----------
+    agent : str
+    start_id : int
+    issued_at_ms : int
+        On the clock of that start of the agent.
+    sequence : int
+
+    Examples
+    --------
+    >>> read_issued_key(str(IssuedKey("agent-1", 11, 5_000, 7)))
+    IssuedKey(agent='agent-1', start_id=11, issued_at_ms=5000, sequence=7)
+    >>> read_issued_key("deposit-812") is None
+    True
+    """
+
+    agent: str
+    start_id: int
+    issued_at_ms: int
+    sequence: int
+
+    def __str__(self) -> str:
+        numbers = f"{self.start_id:x}:{self.issued_at_ms}:{self.sequence}"
+        return f"{ISSUED_PREFIX}:{numbers}:{self.agent}"
+
+
+def read_issued_key(key: str) -> IssuedKey | None:
+    """Return an issued key's parts, or None for a caller's own key."""
+    match key.split(":", 4):
+        case [prefix, start_id, issued_at_ms, sequence, agent] if (
+            prefix == ISSUED_PREFIX
+        ):
+            try:
+                return IssuedKey(
+                    agent, int(start_id, 16), int(issued_at_ms), int(sequence)
+                )
+            except ValueError:
+                return None
+    return None
+
+
+def partition_of(workspace: str, key: str) -> int:
+    """Return the partition whose journal holds a workspace's key."""
+    return xxhash.xxh3_64_intdigest(f"{workspace}\0{key}".encode()) % N_PARTITIONS
+
+
+def rank_owners(
+    service: str, workspace: str, key: str, agents: Iterable[ProcessIdentity]
+) -> list[str]:
+    """Return the names of the agents that a key may go to, best first.
+
+    Every entry host ranks the agents of a plain service alike, so that calls with one
+    key meet at one agent. A key that an agent issued goes to that start of it only.
+    """
+    issued = read_issued_key(key)
+    if issued is not None:
+        owner = (issued.agent, issued.start_id)
+        return [a.name for a in agents if (a.name, a.start_id) == owner]
+    partition = f"{service}/{partition_of(workspace, key)}"
+    return rendezvous_ranking(partition, [agent.name for agent in agents])
--- /dev/null
+++ b/poplarward/requests/payments/payments.py
@@ -0,0 +1,140 @@
+"""Stands before an agent's upstream and lets the call of each key run at most once."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import trio
+
+from ...protocol import Connection, Peers, ProcessIdentity
+from ...protocol.payments import IssueKey, KeyIssued
+from ...protocol.requests import Submit
+from ...state import ObjectStore
+from ...state.writer import Writer
+from .issued import IssuedCalls
+from .journal import Record, RecordState, digest_of
+from .keys import partition_of, read_issued_key
+from .partition import Partition
+from .verdicts import Verdict
+
+__all__ = ["Payments"]
+
+FLUSH_POLL_MS = 20.0
+
+
+def wall_clock_ms() -> int:
+    """Return the time of day."""
+    return int(time.time() * 1000)
+
+
+class Payments:
+    """The keys of a plain service at one of its agents.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Holds the journals.
+    identity : ProcessIdentity
+        The agent.
+    service : str
+        Name of the plain service.
+    seed : int
+        Seed of the jitter of retries.
+    now_ms : callable
+        Returns the time of day, which agents of a service share within minutes.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        identity: ProcessIdentity,
+        service: str,
+        seed: int = 0,
+        now_ms: Callable[[], int] = wall_clock_ms,
+    ):
+        self._store = store
+        self._writer = Writer(store, seed)
+        self._service = service
+        self._owner = f"{identity.name}:{identity.start_id:x}"
+        self._now_ms = now_ms
+        self._issued = IssuedCalls(identity)
+        self._partitions: dict[int, Partition] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to write journals as calls arrive."""
+        self._nursery = nursery
+
+    async def flush(self, timeout_ms: float) -> bool:
+        """Wait until the journals have every result; returns whether they do."""
+        with trio.move_on_after(timeout_ms / 1000):
+            while not all(p.is_flushed for p in self._partitions.values()):
+                await trio.sleep(FLUSH_POLL_MS / 1000)
+            return True
+        return False
+
+    def register(self, peers: Peers) -> None:
+        """Answer entry hosts that ask for keys."""
+        peers.register(IssueKey, self._on_issue)
+
+    async def begin(self, submit: Submit) -> Verdict:
+        """Record a call's key before it is forwarded; returns what to do.
+
+        After `Run` the caller ends with `finish`, `lose` or `release`.
+        """
+        issued = read_issued_key(submit.idempotency_key)
+        if issued is not None:
+            return self._issued.begin(_scoped(submit), issued, self._record(submit))
+        return await self._partition(submit).begin(
+            _scoped(submit), self._record(submit)
+        )
+
+    def finish(
+        self, submit: Submit, status: int, content_type: str, body: bytes
+    ) -> None:
+        """Record the answer of a call that ran."""
+        record = self._record(submit).with_answer(status, content_type, body)
+        self._holder(submit).finish(_scoped(submit), record)
+
+    def lose(self, submit: Submit) -> None:
+        """Record that a call may have run and its answer was lost."""
+        record = self._record(submit)._replace(state=RecordState.UNKNOWN)
+        self._holder(submit).finish(_scoped(submit), record)
+
+    def release(self, submit: Submit) -> None:
+        """Note that a call was not forwarded and never will be."""
+        self._holder(submit).release(_scoped(submit))
+
+    def _record(self, submit: Submit) -> Record:
+        return Record(
+            digest_of(submit), self._owner, RecordState.STARTED, self._now_ms()
+        )
+
+    def _holder(self, submit: Submit) -> Partition | IssuedCalls:
+        if read_issued_key(submit.idempotency_key) is not None:
+            return self._issued
+        return self._partition(submit)
+
+    def _partition(self, submit: Submit) -> Partition:
+        number = partition_of(submit.workspace, submit.idempotency_key)
+        partition = self._partitions.get(number)
+        if partition is None:
+            assert self._nursery is not None
+            partition = self._partitions[number] = Partition(
+                self._store,
+                self._writer,
+                f"{self._service}-{number:03d}",
+                self._owner,
+                self._now_ms,
+            )
+            self._nursery.start_soon(partition.run)
+        return partition
+
+    async def _on_issue(self, connection: Connection, request: IssueKey) -> KeyIssued:
+        return KeyIssued(self._issued.issue())
+
+
+def _scoped(submit: Submit) -> str:
+    """Return the key as the journal names it; keys belong to a workspace."""
+    return f"{submit.workspace}/{submit.idempotency_key}"
--- a/poplarward/requests/reading.py
+++ b/poplarward/requests/reading.py
@@ -13,7 +13,7 @@
 from .directory import Directory
 from .routing.affinity import prefix_digest
 
-__all__ = ["read_caller_request"]
+__all__ = ["read_caller_request", "read_key_request"]
 
 MAX_BODY_BYTES = 256 * 1024
 BODY_TIMEOUT_S = 10.0
@@ -69,6 +69,17 @@
     )
 
 
+async def read_key_request(request: HttpRequest) -> str:
+    """Return the plain service that a key is asked for; raises `CallerError`."""
+    try:
+        document = json.loads(await _read_body(request))
+    except (ValueError, RecursionError):
+        raise CallerError(400, "the body is not JSON") from None
+    if not isinstance(document, dict) or not isinstance(document.get("service"), str):
+        raise CallerError(400, "'service' is missing or not a string")
+    return document["service"]
+
+
 async def _read_body(request: HttpRequest) -> bytes:
     with trio.move_on_after(BODY_TIMEOUT_S):
         return await request.body(MAX_BODY_BYTES)
--- a/poplarward/requests/retries.py
+++ b/poplarward/requests/retries.py
@@ -53,7 +53,8 @@
     Attributes
     ----------
     repeatable : bool
-        Whether running the request twice does no harm.
+        Whether another attempt does no harm: the request is idempotent, or its key
+        makes it run at most once.
     n_attempts : int
         Attempts made so far.
     left_ms : float
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -57,13 +57,8 @@
         self, request: CallerRequest, excluded: frozenset[str] = frozenset()
     ) -> AgentView | None:
         """Return an agent that is not excluded by name, or None."""
-        barred = {*excluded, *self._leaving()}
-        views = {
-            view.identity.name: view
-            for view in self._agents.views(request.upstream)
-            if view.report.state is UpstreamState.LIVE
-            and view.identity.name not in barred
-        }
+        live = self.live_agents(request.upstream, excluded)
+        views = {view.identity.name: view for view in live}
         if not views:
             return None
         n_slots = sum(view.report.n_slots for view in views.values()) / len(views)
@@ -75,6 +70,18 @@
         chosen = choose_candidate(candidates, homes, arriving, self._rng)
         return None if chosen is None else views[chosen.name]
 
+    def live_agents(
+        self, upstream: str, excluded: Collection[str] = ()
+    ) -> list[AgentView]:
+        """Return the agents that take new work and are not excluded by name."""
+        barred = {*excluded, *self._leaving()}
+        return [
+            view
+            for view in self._agents.views(upstream)
+            if view.report.state is UpstreamState.LIVE
+            and view.identity.name not in barred
+        ]
+
     def begin(self, agent: AgentView, request_id: RequestId) -> None:
         """Count an attempt at an agent in, before it is sent."""
         agent.load.begin(request_id.sequence, trio.current_time() * 1000)
--- a/tests/requests/test_caller_session.py
+++ b/tests/requests/test_caller_session.py
@@ -5,14 +5,17 @@
 import hashlib
 import json
 import os
+import re
 from pathlib import Path
 
 import trio
 
 from benchmarks.memory_path import Caller, MemoryPath, MemoryUpstream
 from poplarward.requests import Admission, Gateway
+from poplarward.requests.payments import Payments
 from poplarward.standins.engine import EngineStandin, EngineTiming
 from poplarward.standins.ledger import LedgerStandin
+from poplarward.standins.object_store import MemoryObjectStore
 from poplarward.state import ConfigurationView, Resource
 from poplarward.transport import Address, HttpRequest
 
@@ -90,12 +93,20 @@
         await path.start_agent(name, host, "engine", "drafts", client)
         clients.append(client)
     ledger = MemoryUpstream(nursery, LedgerStandin(500.0).handle)
-    await path.start_agent("agent-3", "10.2.0.3", "plain", "ledger", ledger)
-    return path, clients, ledger
+    store = MemoryObjectStore()
+    await path.start_agent(
+        "agent-3",
+        "10.2.0.3",
+        "plain",
+        "ledger",
+        ledger,
+        payments=lambda identity: Payments(store, identity, "ledger"),
+    )
+    return path, clients, ledger, store
 
 
 async def test_caller_session(nursery, autojump_clock):
-    path, engines, ledger = await start_path(nursery)
+    path, engines, ledger, store = await start_path(nursery)
     entry = await path.start_entry()
     addresses = [Address("10.1.0.1", 8000)]
     gateway = Gateway(make_view(), Admission(), entry, lambda: addresses)
@@ -118,6 +129,17 @@
     session.note("A payment")
     paying = "/v1/services/ledger/payments"
     await session.call("POST", paying, pay, idempotency_key="k-1")
+    session.note("The same payment again, and another with its key")
+    await session.call("POST", paying, pay, idempotency_key="k-1")
+    await session.call("POST", paying, {**pay, "cents": 1}, idempotency_key="k-1")
+    session.note("The platform's store is away: a caller's own key, an issued key")
+    store.set_down(True)
+    await session.call("POST", paying, pay, idempotency_key="k-4")
+    await session.call("POST", "/v1/keys", {"service": "ledger"})
+    issued = json.loads(session.lines[-2][2:])["idempotency_key"]
+    await session.call("POST", paying, pay, idempotency_key=issued)
+    store.set_down(False)
+    await trio.sleep(2)
     session.note("No credential")
     await session.call("GET", "/v1/services/ledger/bookings/b-1", headers={})
     session.note("A payment while the ledger crashes")
@@ -129,7 +151,7 @@
         ledger.crash()
     session.note("A payment that can not reach the ledger")
     await session.call("POST", paying, pay, idempotency_key="k-3")
-    text = "\n".join(session.lines)
+    text = re.sub(r"issued:3:\d+:1", "issued:3:TIME:1", "\n".join(session.lines))
     if os.environ.get("UPDATE_GOLDEN"):
         GOLDEN.write_text(text, encoding="utf-8")
     assert text == GOLDEN.read_text(encoding="utf-8")
