--- a/benchmarks/configuration_fleet.py
+++ b/benchmarks/configuration_fleet.py
@@ -1,7 +1,7 @@
 """Entry hosts and agents that spread a configuration, in memory, with faults.
 
 Used by the configuration's tests and benchmark. Time is the caller's: with trio's
-mock clock, hours of faults pass in seconds and alike on every run.
+mock clock, long faults pass in seconds.
 """
 
 from __future__ import annotations
@@ -12,7 +12,8 @@
 
 import trio
 
-from poplarward.coordination.configuration import ConfigurationSync, LiveMember
+from poplarward.coordination.configuration import ConfigurationSync
+from poplarward.coordination.membership import Member, MemberState
 from poplarward.errors import PeerUnreachable, StoreUnavailable
 from poplarward.hashing import rendezvous_ranking
 from poplarward.protocol import Peers, ProcessIdentity
@@ -185,16 +186,23 @@
         self._agents_of_entry = None
         self.processes.pop(name).scope.cancel()
 
-    def live(self, role=None, data_centre=None) -> list[LiveMember]:
-        """Return what membership tells; satisfies `MembersView`."""
+    def live(self, role=None, data_centre=None) -> list[Member]:
+        """Return the live processes, as membership does; satisfies `MembersView`."""
+        members = self.members(role, data_centre)
+        return [m for m in members if m.state is MemberState.LIVE]
+
+    def members(self, role=None, data_centre=None) -> list[Member]:
+        """Return all processes, as membership does."""
         return [
-            LiveMember(process.identity)
+            Member(process.identity, self._state_of(name), "")
             for name, process in self.processes.items()
-            if name not in self.suspects
-            and role in (None, process.identity.role)
+            if role in (None, process.identity.role)
             and data_centre in (None, process.identity.data_centre)
         ]
 
+    def _state_of(self, name: str) -> MemberState:
+        return MemberState.SUSPECT if name in self.suspects else MemberState.LIVE
+
     def agents_of(self, entry: ProcessIdentity) -> list[ProcessIdentity]:
         """Return the agents that an entry host connects to."""
         if self._agents_of_entry is None:
@@ -203,7 +211,8 @@
 
     def _assign_agents(self) -> dict[str, list[ProcessIdentity]]:
         assigned: dict[str, list[ProcessIdentity]] = {}
-        for (agent,) in self.live("agent"):
+        for member in self.live("agent"):
+            agent = member.identity
             near = self.live("entry", agent.data_centre)
             names = [member.identity.name for member in near]
             for name in rendezvous_ranking(agent.name, names)[:ENTRIES_PER_AGENT]:
--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -80,6 +80,7 @@
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     host_list_lag_ms: int = 200
+    tls_sections: dict[str, dict[str, Any]] = field(default_factory=dict)
     profile_directory: str = ""
 
     async def __aenter__(self) -> Deployment:
@@ -150,6 +151,7 @@
             "platform_url": self.platform_url,
             "peer_secret": PEER_SECRET,
             "operator_tokens": {"demo": OPERATOR_TOKEN},
+            **self.tls_sections.get("entry", {}),
             **more_settings,
         }
         await self.list_host(name)
@@ -163,8 +165,12 @@
         upstream: str,
         url: str,
         n_slots: int = 32,
+        ranks: list[int] | None = None,
     ) -> ManagedProcess:
-        """Start an agent, list it, and wait until it serves."""
+        """Start an agent, list it, and wait until it serves.
+
+        With `ranks` it takes part in changes of its group's expert map.
+        """
         host = self.new_host()
         self.settings[name] = {
             "name": name,
@@ -179,7 +185,10 @@
                 "url": url,
                 "n_slots": n_slots,
             },
+            **self.tls_sections.get("agent", {}),
         }
+        if ranks is not None:
+            self.settings[name]["upstream"]["ranks"] = ranks
         await self.list_host(name)
         return await self.restart(name)
 
--- a/poplarward/operations/status.py
+++ b/poplarward/operations/status.py
@@ -2,14 +2,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
-from ..coordination import ConfigurationSync, HostList, ListedMembers
-from ..coordination.configuration import Rollout, gather_revisions, gather_rollout
+from ..coordination import ConfigurationSync
+from ..coordination.configuration import (
+    MembersView,
+    Rollout,
+    gather_revisions,
+    gather_rollout,
+)
+from ..coordination.leases import LEASES_KIND, fence_of
+from ..coordination.membership import Member
+from ..errors import StoreUnavailable
 from ..protocol import Peers
 from ..protocol.generated.poplarward.v1 import operations_pb2 as pb
-from ..state import DRAIN_KIND, FREEZE_KIND, ConfigurationView
+from ..state import (
+    DRAIN_KIND,
+    FREEZE_KIND,
+    ConfigurationView,
+    ObjectStore,
+    StoredObject,
+)
 
 __all__ = ["DeploymentStatus", "GroupState", "RebalanceControl", "StatusSource"]
 
@@ -59,7 +73,7 @@
         ...
 
     def knows_host(self, name: str) -> bool:
-        """Tell whether a host is on the platform's list."""
+        """Tell whether a host is known."""
         ...
 
 
@@ -74,10 +88,10 @@
         Knows what is in force below this process.
     view : ConfigurationView
         What is in force here.
-    hosts : HostList
-        The platform's list of hosts.
-    leases : callable
-        Returns name, holder and fencing number of the leases known here.
+    members : MembersView
+        The processes of the deployment.
+    store : ObjectStore
+        Holds the leases; read once a call.
     rebalancing : RebalanceControl, optional
         Knows the model groups.
     """
@@ -87,21 +101,20 @@
         peers: Peers,
         configuration: ConfigurationSync,
         view: ConfigurationView,
-        hosts: HostList,
-        leases: Callable[[], Sequence[tuple[str, str, int]]] = tuple,
+        members: MembersView,
+        store: ObjectStore,
         rebalancing: RebalanceControl | None = None,
     ):
         self._peers = peers
         self._configuration = configuration
         self._view = view
-        self._hosts = hosts
-        self._members = ListedMembers(hosts)
-        self._leases = leases
+        self._members = members
+        self._store = store
         self._rebalancing = rebalancing
 
     def knows_host(self, name: str) -> bool:
-        """Tell whether a host is on the platform's list."""
-        return name in self._hosts.hosts
+        """Tell whether a host is known."""
+        return any(member.identity.name == name for member in self._members.members())
 
     async def rollout(self, revision: int) -> Rollout:
         """Return how far a revision has come."""
@@ -114,28 +127,30 @@
         revisions = await gather_revisions(
             self._peers, self._configuration.publisher, self._members
         )
+        try:
+            _, leases = await self._store.list(LEASES_KIND)
+            store_reachable = True
+        except StoreUnavailable:
+            leases, store_reachable = [], False
         return pb.GetStatusResponse(
             revision_in_force=self._view.revision,
-            store_reachable=self._configuration.is_store_reachable,
+            store_reachable=store_reachable,
             hosts=self._host_messages(revisions),
-            leases=[
-                pb.LeaseStatus(name=name, holder=holder, fencing_number=number)
-                for name, holder, number in self._leases()
-            ],
+            leases=[_lease_message(lease) for lease in leases],
             groups=self._group_messages(),
         )
 
     def _host_messages(self, revisions: dict[str, int]) -> list[pb.HostStatus]:
         return [
             pb.HostStatus(
-                name=host.name,
-                role=host.role,
-                data_centre=host.data_centre,
-                state=host.state,
-                revision_in_force=revisions.get(host.name, 0),
-                draining=self._view.get(DRAIN_KIND, host.name) is not None,
+                name=member.identity.name,
+                role=member.identity.role,
+                data_centre=member.identity.data_centre,
+                state=str(member.state),
+                revision_in_force=revisions.get(member.identity.name, 0),
+                draining=self._view.get(DRAIN_KIND, member.identity.name) is not None,
             )
-            for host in sorted(self._hosts.hosts.values())
+            for member in sorted(self._members.members(), key=_name_of)
         ]
 
     def _group_messages(self) -> list[pb.GroupStatus]:
@@ -151,3 +166,13 @@
             )
             for group in groups
         ]
+
+
+def _name_of(member: Member) -> str:
+    return member.identity.name
+
+
+def _lease_message(lease: StoredObject) -> pb.LeaseStatus:
+    return pb.LeaseStatus(
+        name=lease.name, holder=lease.spec["holder"], fencing_number=fence_of(lease)
+    )
--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -22,16 +22,19 @@
 import trio
 from prometheus_client import REGISTRY, generate_latest
 
-from ..coordination import ConfigurationSync, Presence
+from ..coordination import ConfigurationSync, FenceKeeper, Presence, map_role
+from ..coordination.expert_maps import HttpEngineControl, MapKeeper
+from ..coordination.roles import slot_of
 from ..protocol import Peers, ProcessIdentity
 from ..protocol.identity import new_start_id
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
+from ..requests.payments import Payments
 from ..state import ConfigurationView, HttpObjectStore
 from ..telemetry import get_logger
-from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from ..transport import Address, HttpClient, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import AgentSettings
+from .settings import AgentSettings, peers_network, tls_files
 from .startup import load, wait_for_stop
 
 __all__ = ["main"]
@@ -61,22 +64,35 @@
         section["url"],
         section["n_slots"],
     )
-    peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
+    peers = Peers(peers_network(settings), identity, settings["peer_secret"])
     store = HttpObjectStore(settings["platform_url"])
     configuration = ConfigurationSync(peers, store, ConfigurationView())
-    executor = Executor(peers, upstream)
+    payments = None
+    if upstream.kind is UpstreamKind.PLAIN:
+        payments = Payments(store, identity, upstream.name, identity.start_id)
+    executor = Executor(peers, upstream, payments=payments)
+    if upstream.kind is UpstreamKind.ENGINE:
+        lease = slot_of(map_role(upstream.name))
+        fences = FenceKeeper(peers, store, upstream.name, lease, lambda: None)
+        engine = HttpEngineControl(HttpClient(upstream.url, n_connections=8))
+        ranks = section.get("ranks", [])
+        keeper = MapKeeper(peers, upstream.name, engine, fences, ranks)
     presence = Presence(peers)
     monitoring = Monitoring(
         lambda: generate_latest(REGISTRY), lambda: _missing(executor, configuration)
     )
     async with trio.open_nursery() as nursery:
         await executor.start(nursery)
+        if "ranks" in section and upstream.kind is UpstreamKind.ENGINE:
+            await fences.start(nursery)
+            await keeper.start(nursery)
         await peers.start(nursery)
         await configuration.start(nursery)
         await nursery.start(
             serve_http,
             asgi_application(monitoring.handle),
             Address.parse(settings["metrics_listen"]),
+            tls_files(settings, "metrics_tls"),
         )
         log.info("agent.started", name=settings["name"], upstream=upstream.name)
         await wait_for_stop(lambda: executor.n_attempts)
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -26,10 +26,13 @@
     ControlRoles,
     HostList,
     LeaseTiming,
+    Member,
     Membership,
     Presence,
     map_role,
 )
+from ..coordination.expert_maps import GroupHost
+from ..coordination.group_set import GroupSet
 from ..operations import (
     DeploymentStatus,
     OperationsService,
@@ -48,11 +51,11 @@
     WorkspaceLimits,
     named_addresses,
 )
-from ..state import ConfigurationView, HttpObjectStore, Writer
+from ..state import ConfigurationView, HttpObjectStore, Writer, drained_hosts
 from ..telemetry import RequestMetrics, get_logger
-from ..transport import Address, WebSocketNetwork, asgi_application, serve_http
+from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import EntrySettings
+from .settings import EntrySettings, peers_network, tls_files
 from .startup import load, wait_for_stop
 
 __all__ = ["main"]
@@ -81,12 +84,13 @@
     store = HttpObjectStore(settings["platform_url"])
     hosts = HostList(settings["platform_url"])
     view = ConfigurationView()
-    peers = Peers(WebSocketNetwork(), identity, settings["peer_secret"])
+    peers = Peers(peers_network(settings), identity, settings["peer_secret"])
     presence = Presence(peers, settings["callers_listen"])
     membership = Membership(peers, presence, hosts.hosts_now, seed=identity.start_id)
+    writer = Writer(store, identity.start_id)
     roles = ControlRoles(
         store,
-        Writer(store, identity.start_id),
+        writer,
         identity,
         lambda: [member.identity.name for member in membership.live("entry")],
         lambda: [map_role(name) for name, _ in view.specs("modelgroups")],
@@ -97,7 +101,7 @@
     relay = Relay(peers)
     router = Router(
         agents,
-        leaving=lambda: membership.not_live("agent"),
+        leaving=lambda: membership.not_live("agent") | drained_hosts(view),
         data_centre=settings["data_centre"],
         far_cost_requests=settings.get("far_cost_requests", 0.0),
     )
@@ -115,15 +119,20 @@
         admission,
         attempts,
         lambda caller_host: named_addresses(
-            membership.live("entry"), settings["data_centre"], caller_host
+            _entries_to_name(membership, view), settings["data_centre"], caller_host
         ),
         metrics,
     )
     monitoring = Monitoring(
         metrics.render, lambda: _missing(configuration, hosts, peers)
     )
-    status = DeploymentStatus(peers, configuration, view, hosts)
-    operations = OperationsService(store, view, status)
+    groups = GroupSet(
+        peers, store, writer, view, roles, lambda name: _group_hosts(hosts, name)
+    )
+    status = DeploymentStatus(
+        peers, configuration, view, membership, store, rebalancing=groups
+    )
+    operations = OperationsService(store, view, status, groups)
     async with trio.open_nursery() as nursery:
         await peers.start(nursery)
         await hosts.start(nursery)
@@ -137,20 +146,25 @@
                 serve_http,
                 asgi_application(monitoring.handle),
                 Address.parse(settings["metrics_listen"]),
+                tls_files(settings, "metrics_tls"),
             )
         await configuration.ready.wait()
+        await groups.start(nursery)
         await nursery.start(
             serve_http,
             asgi_application(gateway.handle),
             Address.parse(settings["callers_listen"]),
+            tls_files(settings, "callers_tls"),
         )
         await nursery.start(
             serve_http,
             operations_application(operations, settings["operator_tokens"]),
             Address.parse(settings["operators_listen"]),
+            tls_files(settings, "operators_tls"),
         )
         log.info("entry.started", name=settings["name"], revision=view.revision)
         await wait_for_stop(lambda: gateway.n_open)
+        await groups.close()
         await membership.close()
         with trio.move_on_after(RELEASE_TIMEOUT_S):
             await roles.close()
@@ -172,5 +186,20 @@
     return missing
 
 
+def _entries_to_name(membership: Membership, view: ConfigurationView) -> list[Member]:
+    """Return the live entry hosts that no operator drains."""
+    drained = drained_hosts(view)
+    return [m for m in membership.live("entry") if m.identity.name not in drained]
+
+
+def _group_hosts(hosts: HostList, group: str) -> list[GroupHost]:
+    """Return the listed hosts of a group, those that are leaving included."""
+    return [
+        GroupHost(host.name, host.peers)
+        for host in hosts.with_role("agent")
+        if host.upstream == group
+    ]
+
+
 if __name__ == "__main__":
     main()
--- a/poplarward/requests/caller.py
+++ b/poplarward/requests/caller.py
@@ -34,3 +34,8 @@
     prefix_digest: str = ""
     share: float = 1.0
     n_tokens: int = 1
+
+    @property
+    def is_keyed(self) -> bool:
+        """Whether an idempotency key decides if it may run."""
+        return bool(self.idempotency_key) and not self.repeatable
--- a/tests/programs/test_operator_session.py
+++ b/tests/programs/test_operator_session.py
@@ -16,7 +16,6 @@
 import trio
 
 from benchmarks.configuration_fleet import Fleet
-from poplarward.coordination import HostEntry, HostList
 from poplarward.operations import (
     DeploymentStatus,
     OperationsService,
@@ -136,12 +135,8 @@
     fleet = Fleet(nursery)
     fleet.start_all(3, 2, ["rennes", "brest"])
     await fleet.wait_ready()
-    hosts = HostList("http://127.0.0.1:9")
-    for process in fleet.processes.values():
-        role, name, _, address, data_centre = process.identity
-        hosts.hosts[name] = HostEntry(name, role, data_centre, "live", str(address))
     entry = fleet.processes["entry-0"]
-    status = DeploymentStatus(entry.peers, entry.sync, entry.view, hosts)
+    status = DeploymentStatus(entry.peers, entry.sync, entry.view, fleet, fleet.store)
     service = OperationsService(fleet.store, entry.view, status)
     application = operations_application(service, {"lea": "token"})
     address = await nursery.start(
