Measure membership; ask a holder that refuses only every 30 s

Cause: what membership costs and how soon it judges was not measured. A candidate that a holder refuses, because it does not see it as live, asked again at every look, and each time cost the holder a renewal. Ruled out: asking once only, since the holder may see the candidate later. Change: python -m benchmarks.membership; at most one question in 30 s.

--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,255 @@
+"""Cost of membership for each host, and how soon and how rightly it judges.
+
+Usage:
+  membership [--json] [--seed N]
+
+Options:
+  --json    Print one JSON document (the only form).
+  --seed N  Seed of every random choice [default: 1].
+
+Entry hosts and agents run on memory channels in virtual time. Messages, bytes and
+judgements are the same on every run with one seed; processor time is not. It is that
+of the whole process, so it includes agents and the memory network.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import trio
+from docopt import docopt
+from trio.testing import MockClock
+
+from poplarward.coordination import HostEntry, Membership, Presence
+from poplarward.coordination.membership import MemberRecord, MemberState
+from poplarward.coordination.membership.assignment import delegates_of, watched_by
+from poplarward.coordination.membership.reachability import Reachability
+from poplarward.coordination.membership.table import MemberTable
+from poplarward.coordination.membership.view import MemberView
+from poplarward.protocol import Peers, ProcessIdentity
+from poplarward.telemetry import configure_logs
+from poplarward.transport import Address, LinkFaults, MemoryNetwork
+
+SIZES = [8, 16, 32, 64]
+N_AGENTS_PER_ENTRY = 10
+N_ENTRIES_PER_DATA_CENTRE = 8
+SETTLE_S = 10
+MEASURED_S = 20
+N_KILLS = 5
+N_STALLS = 10
+STALL_S = 0.8
+TARGETS = {"bytes_per_s": 22_000, "us_per_s": 34_000}
+
+
+class _Host:
+    """One process; while stalled, it answers nothing."""
+
+    def __init__(self, fleet: _Fleet, role: str, i: int, data_centre: str):
+        self.name = f"{role}-{i}"
+        self.address = Address(f"10.{role == 'agent':d}.{i // 250}.{i % 250}", 9000)
+        identity = ProcessIdentity(role, self.name, i, self.address, data_centre)
+        self.peers = Peers(fleet.network.host(self.address.host), identity, "s")
+        self.presence = Presence(self.peers, now_ms=lambda: 1000)
+        self.membership: Membership | None = None
+        if role == "entry":
+            self.membership = Membership(
+                self.peers, self.presence, lambda: fleet.listed, seed=i + fleet.seed
+            )
+        self.scope = trio.CancelScope()
+
+    async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                await self.peers.start(nursery)
+                if self.membership is not None:
+                    await self.membership.start(nursery)
+                task_status.started()
+                await trio.sleep_forever()
+
+
+class _Fleet:
+    """All hosts of one run, and what their membership says."""
+
+    def __init__(self, n_entries: int, seed: int):
+        self.seed = seed
+        self.faults = LinkFaults(delay_ms=1, jitter_ms=1)
+        self.network = MemoryNetwork(self.faults, seed)
+        self.listed: list[HostEntry] = []
+        self.n_false = 0
+        self.dead: set[str] = set()
+        n_centres = max(1, n_entries // N_ENTRIES_PER_DATA_CENTRE)
+        sizes = {"entry": n_entries, "agent": n_entries * N_AGENTS_PER_ENTRY}
+        self.hosts = [
+            _Host(self, role, i, f"dc-{i % n_centres}")
+            for role, n in sizes.items()
+            for i in range(n)
+        ]
+        for host in self.hosts:
+            role, centre = host.peers.identity.role, host.peers.identity.data_centre
+            entry = HostEntry(host.name, role, centre, "live", str(host.address))
+            self.listed.append(entry)
+
+    def entries(self) -> list[_Host]:
+        return [h for h in self.hosts if h.membership and h.name not in self.dead]
+
+    def not_live(self) -> set[str]:
+        """Return the processes that any entry host takes for not live."""
+        return {
+            name
+            for host in self.entries()
+            for role in ("entry", "agent")
+            for name in host.membership.not_live(role)
+        }
+
+    async def count_false(self) -> None:
+        """Count each time that a process which lives becomes not live anywhere."""
+        before: set[str] = set()
+        while True:
+            await trio.sleep(0.1)
+            now = self.not_live() - self.dead
+            self.n_false += len(now - before)
+            before = now
+
+    async def wait_until(self, condition: Callable[[], bool]) -> float:
+        started_at = trio.current_time()
+        with trio.fail_after(60):
+            while not condition():
+                await trio.sleep(0.1)
+        return (trio.current_time() - started_at) * 1000
+
+
+async def _measure(n_entries: int, seed: int) -> dict[str, Any]:
+    rng = random.Random(seed)
+    fleet = _Fleet(n_entries, seed)
+    async with trio.open_nursery() as nursery:
+        for host in fleet.hosts:
+            await nursery.start(host.run)
+        await trio.sleep(SETTLE_S)
+        cost = await _cost(fleet)
+        nursery.start_soon(fleet.count_false)
+        stalls = await _stall_links(fleet, rng)
+        detection = [await _kill_one(fleet, rng) for _ in range(N_KILLS)]
+        nursery.cancel_scope.cancel()
+    return {
+        "entries": n_entries,
+        "agents": n_entries * N_AGENTS_PER_ENTRY,
+        **cost,
+        "stalls": stalls,
+        "false_suspicions": fleet.n_false,
+        "suspect_everywhere_ms": sorted(round(s) for s, _ in detection),
+        "gone_everywhere_ms": sorted(round(g) for _, g in detection),
+    }
+
+
+async def _cost(fleet: _Fleet) -> dict[str, Any]:
+    """Return what each host sends, and the processor time for each entry host."""
+    network = fleet.network
+    n_messages, n_bytes = dict(network.n_messages), dict(network.n_bytes)
+    cpu_s = time.process_time()
+    await trio.sleep(MEASURED_S)
+    cpu_s = time.process_time() - cpu_s
+    cost: dict[str, Any] = {}
+    for role in ("entry", "agent"):
+        ips = [h.address.host for h in fleet.hosts if h.name.startswith(role)]
+        sent = [network.n_messages.get(ip, 0) - n_messages.get(ip, 0) for ip in ips]
+        size = [network.n_bytes.get(ip, 0) - n_bytes.get(ip, 0) for ip in ips]
+        cost[f"{role}_messages_per_s"] = round(sum(sent) / len(ips) / MEASURED_S, 1)
+        cost[f"{role}_bytes_per_s"] = round(sum(size) / len(ips) / MEASURED_S)
+        cost[f"{role}_bytes_per_s_max"] = round(max(size) / MEASURED_S)
+    cost["us_per_s_and_entry"] = round(cpu_s / MEASURED_S / len(fleet.entries()) * 1e6)
+    return cost
+
+
+async def _stall_links(fleet: _Fleet, rng: random.Random) -> int:
+    """Delay every message of the fleet for short times, as a busy network does."""
+    for _ in range(N_STALLS):
+        await trio.sleep(rng.uniform(1, 3))
+        fleet.faults.delay_ms = STALL_S * 1000 / 2
+        await trio.sleep(STALL_S)
+        fleet.faults.delay_ms = 1
+    return N_STALLS
+
+
+async def _kill_one(fleet: _Fleet, rng: random.Random) -> tuple[float, float]:
+    victim = rng.choice([h for h in fleet.hosts if h.name not in fleet.dead])
+    fleet.dead.add(victim.name)
+    victim.scope.cancel()
+    role = victim.peers.identity.role
+
+    def suspected() -> bool:
+        views = [h.membership.not_live(role) for h in fleet.entries()]
+        return all(victim.name in names for names in views)
+
+    def gone() -> bool:
+        return all(
+            member.state is MemberState.GONE
+            for host in fleet.entries()
+            for member in host.membership.members(role)
+            if member.identity.name == victim.name
+        )
+
+    suspect_ms = await fleet.wait_until(suspected)
+    return suspect_ms, suspect_ms + await fleet.wait_until(gone)
+
+
+def _table_cost(n_entries: int, n_agents: int, n_centres: int) -> dict[str, Any]:
+    """Return the processor time of what a host works out over the whole table."""
+    table = MemberTable()
+    for role, n in (("entry", n_entries), ("agent", n_agents)):
+        table.merge(
+            MemberRecord(
+                f"{role}-{i}",
+                role,
+                f"dc-{i % n_centres}",
+                Address("10.0.0.1", i),
+                "",
+                i,
+                1,
+                MemberState.LIVE,
+            )
+            for i in range(n)
+        )
+    view = MemberView(table, Reachability())
+    records = table.records.values()
+    return {
+        "entries": n_entries,
+        "agents": n_agents,
+        "data_centres": n_centres,
+        "watched_by_us": _time_us(lambda: watched_by("entry-1", records)),
+        "delegates_us": _time_us(lambda: delegates_of(records)),
+        "view_us": _time_us(lambda: (view.clear(), view.not_live("agent"))),
+        "digest_us": _time_us(table.digest),
+        "n_watched": len(watched_by("entry-1", records)),
+    }
+
+
+def _time_us(work: Callable[[], Any]) -> int:
+    started = time.process_time()
+    for _ in range(5):
+        work()
+    return round((time.process_time() - started) / 5 * 1e6)
+
+
+def main() -> None:
+    """Run the benchmark."""
+    seed = int(docopt(__doc__)["--seed"])
+    configure_logs("membership", "error")
+    runs = [
+        trio.run(_measure, size, seed, clock=MockClock(autojump_threshold=0))
+        for size in SIZES
+    ]
+    document = {
+        "seed": seed,
+        "targets": TARGETS,
+        "runs": runs,
+        "table": _table_cost(1000, 10_000, 18),
+    }
+    print(json.dumps(document, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarward/coordination/leases.py
+++ b/poplarward/coordination/leases.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -21,6 +22,7 @@
 __all__ = ["LEASES_KIND", "Lease", "LeaseCandidate", "LeaseTiming", "fence_of"]
 
 LEASES_KIND = "leases"
+ASK_INTERVAL_MS = 30_000.0
 
 log = get_logger("leases")
 
@@ -117,6 +119,7 @@
         self._candidate = candidate or LeaseCandidate()
         self._clock = clock
         self._held: _Held | None = None
+        self._asked_at_s = -math.inf
         self._scope = trio.CancelScope()
 
     @property
@@ -192,6 +195,11 @@
             return
         if self._candidate.rank() != 0 or not self._candidate.goes_before(holder):
             return
+        # A holder that does not see this process as live refuses; each try costs
+        # it a renewal.
+        if (self._clock() - self._asked_at_s) * 1000 < ASK_INTERVAL_MS:
+            return
+        self._asked_at_s = self._clock()
         spec = {**stored.spec, "wanted_by": self._holder, "fence": fence_of(stored)}
         await self._put(spec, stored.version)
 
--- a/tests/coordination/test_leases.py
+++ b/tests/coordination/test_leases.py
@@ -249,6 +249,22 @@
         await trio.sleep(0.02)
 
 
+async def test_holder_that_refuses_is_asked_seldom(autojump_clock, nursery):
+    store = MemoryObjectStore()
+    holder, asker = Host(store, "a", 1), Host(store, "b", 0)
+    holder.rank = 0
+    await holder.lease.start(nursery)
+    await wait_for_holder([holder])
+    fence = holder.lease.fence
+    asker.lease._candidate = LeaseCandidate(goes_before=lambda other: True)
+    await asker.lease.start(nursery)
+    await trio.sleep(300)
+    assert holder.lease.fence == fence
+    asked = [e for e in store.history() if e.object.spec["wanted_by"] == "b"]
+    assert 1 <= len(asked) <= 11
+    nursery.cancel_scope.cancel()
+
+
 class RoleHosts:
     """Entry hosts that compete for roles, all with the same list of live hosts."""
 
