--- a/tests/requests/test_caller_session.py
+++ b/tests/requests/test_caller_session.py
@@ -17,7 +17,7 @@
 from poplarward.standins.ledger import LedgerStandin
 from poplarward.standins.object_store import MemoryObjectStore
 from poplarward.state import ConfigurationView, Resource
-from poplarward.transport import Address, HttpRequest
+from poplarward.transport import HttpRequest
 
 GOLDEN = Path(__file__).parent / "golden" / "caller_session.txt"
 TOKEN = {"authorization": "Bearer caller", "content-type": "application/json"}
@@ -73,7 +73,7 @@
         self.lines.append(f"> {method} {path}")
         self.lines += [f"> {name}: {headers[name]}" for name in sorted(headers)]
         self.lines += [f"> {content.decode()}"] if content else []
-        request = HttpRequest(method, path, path, {}, headers, receive)
+        request = HttpRequest(method, path, path, "10.9.0.1", {}, headers, receive)
         await self._gateway.handle(request, caller)
         self.lines.append(f"< {caller.status}")
         names = sorted(caller.headers)
@@ -108,8 +108,8 @@
 async def test_caller_session(nursery, autojump_clock):
     path, engines, ledger, store = await start_path(nursery)
     entry = await path.start_entry()
-    addresses = [Address("10.1.0.1", 8000)]
-    gateway = Gateway(make_view(), Admission(), entry, lambda: addresses)
+    addresses = ["10.1.0.1:8000"]
+    gateway = Gateway(make_view(), Admission(), entry, lambda host: addresses)
     session = Session(gateway)
     draft = {"model": "portrait", "prompt": "A grey cat.", "max_tokens": 3}
     pay = {"reference": "b-1", "cents": 4000}
