Load reports go along with answers, and once a second while nothing changes

Cause: an idle entry host with 54 agents used 10.0% of a core, against 3.4% for all control. In a profile 3,898 of 4,771 messages in 30 s were load reports of 24 agents. Ruled out: CBOR and its check (13 us a report); the rest is websockets and trio for each message.

Change: a report that is due goes in the message that carries answers; alone it is sent only where no answer comes in time, and each second while the load is the same.

--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -115,9 +115,8 @@
         self._attempts: dict[RequestId, _Attempt] = {}
         self._outcomes = OutcomeRecord()
         self._packers: dict[Connection, PiecePacker] = {}
-        self._n_reports = 0
         self._nursery: trio.Nursery | None = None
-        self._reporter = LoadReporter(peers, self._make_report)
+        self._reporter = LoadReporter(peers, self._read_load)
         peers.register(Submit, self._on_submit)
         peers.register(Cancel, self._on_cancel)
         peers.register(Bar, self._on_bar)
@@ -227,7 +226,9 @@
         packer = self._packers.get(connection)
         if packer is None:
             assert self._nursery is not None
-            packer = self._packers[connection] = PiecePacker(connection)
+            packer = self._packers[connection] = PiecePacker(
+                connection, self._reporter.due_report
+            )
             self._nursery.start_soon(packer.run)
         return packer
 
@@ -318,8 +319,7 @@
         if was_live:
             await self._reporter.report_now()
 
-    def _make_report(self) -> AgentReport:
-        self._n_reports += 1
+    def _read_load(self) -> AgentReport:
         n_running = sum(attempt.has_piece for attempt in self._attempts.values())
         return AgentReport(
             upstream_kind=self._settings.kind,
@@ -331,7 +331,7 @@
             n_slots=self._settings.n_slots,
             kv_bytes_used=0,
             kv_bytes_limit=0,
-            report_number=self._n_reports,
+            report_number=0,
         )
 
 
--- a/poplarward/requests/packing.py
+++ b/poplarward/requests/packing.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from ..errors import PeerUnreachable
 from ..protocol import Connection, RequestId
+from ..protocol.reports import AgentReport
 from ..protocol.requests import End, Head, PieceBatch, Pieces
 
 __all__ = ["PiecePacker"]
@@ -20,10 +23,22 @@
     Of each answer the head goes first, then its pieces in order, then its end. Once
     the connection is lost, whatever is added is dropped, so that an upstream's call
     goes on undisturbed.
+
+    Parameters
+    ----------
+    connection : Connection
+        Where answers go.
+    due_report : callable
+        Returns the load report to send along, None if none is due.
     """
 
-    def __init__(self, connection: Connection):
+    def __init__(
+        self,
+        connection: Connection,
+        due_report: Callable[[Connection], AgentReport | None],
+    ):
         self._connection = connection
+        self._due_report = due_report
         self._heads: list[Head] = []
         self._batches: dict[int, PieceBatch] = {}
         self._ends: list[End] = []
@@ -90,4 +105,6 @@
             return
         start_id = self._connection.identity.start_id
         pieces = [Pieces(start_id, list(batches.values()))] if batches else []
-        await self._connection.notify_all([*heads, *pieces, *ends])
+        report = self._due_report(self._connection)
+        reports = [report] if report is not None else []
+        await self._connection.notify_all([*heads, *pieces, *ends, *reports])
