--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -76,9 +76,11 @@
         for client in self._clients.values():
             await client.close()
 
-    async def draft(self, tally: ClassTally, prompt: str, n_tokens: int) -> None:
+    async def draft(
+        self, tally: ClassTally, model: str, prompt: str, n_tokens: int
+    ) -> None:
         """Stream a completion and check that it is whole and the caller's own."""
-        document = {"model": "portrait", "prompt": prompt, "max_tokens": n_tokens}
+        document = {"model": model, "prompt": prompt, "max_tokens": n_tokens}
         answer = await self._send(
             tally, "POST", "/v1/completions", json.dumps(document).encode()
         )
--- a/benchmarks/capacity_local.py
+++ b/benchmarks/capacity_local.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import trio
+
 from poplarward.coordination.rebalancing import (
     CostModel,
     LoadEstimator,
@@ -65,7 +67,7 @@
 def bytes_per_labelled_workspace() -> float:
     """Return the memory of the histograms of one workspace, both classes."""
 
-    def fill() -> RequestMetrics:
+    async def fill() -> RequestMetrics:
         metrics = RequestMetrics()
         for number in range(N_WORKSPACES):
             for priority_class in ("urgent", "drafting"):
@@ -77,7 +79,7 @@
                     metrics.count_outcome(name, priority_class, outcome)
         return metrics
 
-    return _grown_bytes(fill) / N_WORKSPACES
+    return _grown_bytes(lambda: trio.run(fill)) / N_WORKSPACES
 
 
 def report_cost() -> dict[str, float]:
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -21,7 +21,7 @@
 import sys
 from collections import Counter
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import trio
 from docopt import docopt
@@ -36,6 +36,8 @@
 N_ENTRIES = 6
 N_ENGINES = 4
 N_LEDGERS = 3
+N_RANKS = 4
+MODELS = ("portrait", "palette")
 ARRIVALS_PER_S = {"drafting": 6.0, "lookup": 20.0, "deposit": 8.0}
 TOKENS_RANGE = (20, 120)
 SETTLE_S = 20.0
@@ -66,6 +68,18 @@
             "drafts",
             f"http://{engine.host}:7000",
         )
+    ranks = await deployment.start_standin(
+        "ranks", "ranks", ["--hosts", str(N_RANKS), "--step-ms", "15"]
+    )
+    for i in range(N_RANKS):
+        await deployment.start_agent(
+            f"agent-rank-{i}",
+            DATA_CENTRES[0],
+            "engine",
+            "palettes",
+            f"http://{ranks.host}:{7000 + i}",
+            ranks=[i],
+        )
     for i in range(N_LEDGERS):
         ledger = await deployment.start_standin(f"ledger-{i}", "ledger", [])
         await deployment.start_agent(
@@ -83,6 +97,11 @@
         workspace("ateliers", "token-ateliers", 3.0),
         workspace("owners", "token-owners", 1.0),
         model_group("drafts", "portrait"),
+        model_group("palettes", "palette", N_RANKS),
+        pb.Resource(
+            name="armor",
+            deployment=pb.Deployment(skew_weight=3, rebalance_cost_weight=1),
+        ),
         ledger_service("bookings"),
     ]
     for resource in resources:
@@ -123,7 +142,8 @@
         match name:
             case "drafting":
                 prompt = f"{rng.choice(prompts)} ({number})"
-                await caller.draft(tally, prompt, rng.randint(*TOKENS_RANGE))
+                n_tokens = rng.randint(*TOKENS_RANGE)
+                await caller.draft(tally, rng.choice(MODELS), prompt, n_tokens)
             case "lookup":
                 await caller.look_up(tally, f"booking-{rng.randint(1, 50)}")
             case "deposit":
@@ -161,6 +181,29 @@
     deployment.processes["engine-1"].signal(signal.SIGKILL)
 
 
+async def read_rank_record(deployment: Deployment) -> dict[str, Any]:
+    """Return the rank group's own record of its steps and maps."""
+    client = HttpClient(f"http://{deployment.processes['ranks'].host}:7000")
+    reply = await client.call("GET", "/record")
+    await client.close()
+    return json.loads(reply.body)
+
+
+async def read_group_status(deployment: Deployment) -> pb.GroupStatus:
+    """Return the rank group's status from the entry host that leads it."""
+    latest = pb.GroupStatus(name="palettes")
+    for i in range(N_ENTRIES):
+        if deployment.processes[f"entry-{i}"].popen.poll() is not None:
+            continue
+        status = await deployment.operate(
+            f"entry-{i}", "GetStatus", pb.GetStatusRequest(), pb.GetStatusResponse
+        )
+        for group in status.groups:
+            if group.name == latest.name and group.skew > 0:
+                latest = group
+    return latest
+
+
 async def doubled_postings(deployment: Deployment) -> int:
     """Return how many postings are doubled, from the ledgers' own records."""
     references: Counter[str] = Counter()
@@ -191,7 +234,10 @@
 
 
 def broken_promises(
-    tallies: dict[str, ClassTally], n_doubled: int, stopped: list[int]
+    tallies: dict[str, ClassTally],
+    n_doubled: int,
+    stopped: list[int],
+    n_mixed_steps: int,
 ) -> list[str]:
     """Return what did not hold, in words."""
     broken = []
@@ -203,6 +249,8 @@
             broken.append(f"{n_missing} {name} requests got no answer")
     if n_doubled:
         broken.append(f"{n_doubled} deposits were recorded twice")
+    if n_mixed_steps:
+        broken.append(f"{n_mixed_steps} steps used more than one expert map")
     if stopped != [0]:
         broken.append("the planned stop of an entry host did not end in order")
     return broken
@@ -220,9 +268,17 @@
             nursery.start_soon(run_scenario, deployment, scenario, stopped)
             tallies = await send_load(deployment, rng, seconds)
         n_doubled = await doubled_postings(deployment)
+        record = await read_rank_record(deployment)
+        group = await read_group_status(deployment)
     print_table(tallies)
+    say(
+        f"rank group: {record['n_steps']} steps, {len(record['mixed_steps'])} with"
+        f" more than one map; {group.n_experts_moved} experts moved, skew"
+        f" {group.skew:.2f} at the end"
+    )
     say(f"doubled deposits in the ledgers' own records: {n_doubled}")
-    broken = broken_promises(tallies, n_doubled, stopped)
+    n_mixed_steps = len(record["mixed_steps"])
+    broken = broken_promises(tallies, n_doubled, stopped, n_mixed_steps)
     for promise in broken:
         say(f"BROKEN: {promise}")
     if not broken:
