An entry host stops in order: named no more, then no new callers, then no requests

Cause: a second SIGTERM ended the process at once, and a stopping entry host closed its listener as soon as it was idle, while callers still held its address.

Change: programs/entry_host.py puts the parts together and stops them: leave the membership, give up the roles, serve for as long as addresses are kept, stop accepting, wait for the requests in progress. A later signal logs how many requests an end would cut off.

--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -35,7 +35,7 @@
 from ..transport import Address, HttpClient, asgi_application, serve_http
 from .monitoring import Monitoring
 from .settings import AgentSettings, peers_network, tls_files
-from .startup import load, wait_for_stop
+from .startup import load, watch_signals
 
 __all__ = ["main"]
 
@@ -95,7 +95,9 @@
             tls_files(settings, "metrics_tls"),
         )
         log.info("agent.started", name=settings["name"], upstream=upstream.name)
-        await wait_for_stop(lambda: executor.n_attempts)
+        stop_requested = trio.Event()
+        nursery.start_soon(watch_signals, stop_requested, lambda: executor.n_attempts)
+        await stop_requested.wait()
         presence.leave()
         await executor.drain()
         await peers.close()
--- a/poplarward/programs/entry.py
+++ b/poplarward/programs/entry.py
@@ -21,184 +21,18 @@
 
 import trio
 
-from ..coordination import (
-    ConfigurationSync,
-    ControlRoles,
-    HostList,
-    LeaseTiming,
-    Member,
-    Membership,
-    Presence,
-    map_role,
-)
-from ..coordination.expert_maps import GroupHost
-from ..coordination.group_set import GroupSet
-from ..operations import (
-    DeploymentStatus,
-    OperationsService,
-    operations_application,
-)
-from ..protocol import Peers, ProcessIdentity
-from ..protocol.identity import new_start_id
-from ..requests import (
-    Admission,
-    AgentConnections,
-    AgentTable,
-    AttemptLoop,
-    Gateway,
-    Relay,
-    Router,
-    WorkspaceLimits,
-    named_addresses,
-)
-from ..state import ConfigurationView, HttpObjectStore, Writer, drained_hosts
-from ..telemetry import RequestMetrics, get_logger
-from ..transport import Address, asgi_application, serve_http
-from .monitoring import Monitoring
-from .settings import EntrySettings, peers_network, tls_files
-from .startup import load, wait_for_stop
+from .entry_host import EntryHost
+from .settings import EntrySettings
+from .startup import load
 
 __all__ = ["main"]
 
-LEASE_LENGTH_MS = 6000.0
-RELEASE_TIMEOUT_S = 2.0
-
-log = get_logger("entry")
-
 
 def main() -> None:
     """Run the program named on the command line."""
     settings = load(__doc__, "poplarward-entry", EntrySettings)
     if settings is not None:
-        trio.run(_run, settings)
-
-
-async def _run(settings: EntrySettings) -> None:
-    identity = ProcessIdentity(
-        role="entry",
-        name=settings["name"],
-        start_id=new_start_id(),
-        address=Address.parse(settings["peers_listen"]),
-        data_centre=settings["data_centre"],
-    )
-    store = HttpObjectStore(settings["platform_url"])
-    hosts = HostList(settings["platform_url"])
-    view = ConfigurationView()
-    peers = Peers(peers_network(settings), identity, settings["peer_secret"])
-    presence = Presence(peers, settings["callers_listen"])
-    membership = Membership(peers, presence, hosts.hosts_now, seed=identity.start_id)
-    writer = Writer(store, identity.start_id)
-    roles = ControlRoles(
-        store,
-        writer,
-        identity,
-        lambda: [member.identity.name for member in membership.live("entry")],
-        lambda: [map_role(name) for name, _ in view.specs("modelgroups")],
-        LeaseTiming.of_length(settings.get("lease_length_ms", LEASE_LENGTH_MS)),
-    )
-    configuration = ConfigurationSync(peers, store, view, membership)
-    agents = AgentTable(peers)
-    relay = Relay(peers)
-    router = Router(
-        agents,
-        leaving=lambda: membership.not_live("agent") | drained_hosts(view),
-        data_centre=settings["data_centre"],
-        far_cost_requests=settings.get("far_cost_requests", 0.0),
-    )
-    connections = AgentConnections(peers, agents, lambda: hosts.hosts.values())
-    attempts = AttemptLoop(peers, relay, router)
-    limits = WorkspaceLimits(
-        peers,
-        view,
-        lambda: [member.identity for member in membership.live("entry")],
-    )
-    metrics = RequestMetrics()
-    admission = Admission(limits=limits)
-    gateway = Gateway(
-        view,
-        admission,
-        attempts,
-        lambda caller_host: named_addresses(
-            _entries_to_name(membership, view), settings["data_centre"], caller_host
-        ),
-        metrics,
-    )
-    monitoring = Monitoring(
-        metrics.render, lambda: _missing(configuration, hosts, peers)
-    )
-    groups = GroupSet(
-        peers, store, writer, view, roles, lambda name: _group_hosts(hosts, name)
-    )
-    status = DeploymentStatus(
-        peers, configuration, view, membership, store, rebalancing=groups
-    )
-    operations = OperationsService(store, view, status, groups)
-    async with trio.open_nursery() as nursery:
-        await peers.start(nursery)
-        await hosts.start(nursery)
-        await membership.start(nursery)
-        await configuration.start(nursery)
-        await roles.start(nursery)
-        nursery.start_soon(connections.run)
-        await limits.start(nursery)
-        if "metrics_listen" in settings:
-            await nursery.start(
-                serve_http,
-                asgi_application(monitoring.handle),
-                Address.parse(settings["metrics_listen"]),
-                tls_files(settings, "metrics_tls"),
-            )
-        await configuration.ready.wait()
-        await groups.start(nursery)
-        await nursery.start(
-            serve_http,
-            asgi_application(gateway.handle),
-            Address.parse(settings["callers_listen"]),
-            tls_files(settings, "callers_tls"),
-        )
-        await nursery.start(
-            serve_http,
-            operations_application(operations, settings["operator_tokens"]),
-            Address.parse(settings["operators_listen"]),
-            tls_files(settings, "operators_tls"),
-        )
-        log.info("entry.started", name=settings["name"], revision=view.revision)
-        await wait_for_stop(lambda: gateway.n_open)
-        await groups.close()
-        await membership.close()
-        with trio.move_on_after(RELEASE_TIMEOUT_S):
-            await roles.close()
-        while gateway.n_open:
-            await trio.sleep(0.05)
-        await peers.close()
-        nursery.cancel_scope.cancel()
-
-
-def _missing(
-    configuration: ConfigurationSync, hosts: HostList, peers: Peers
-) -> list[str]:
-    """Return what keeps the entry host from serving."""
-    missing = []
-    if not configuration.ready.is_set():
-        missing.append("no configuration is in force yet")
-    if hosts.with_role("agent") and not peers.n_links:
-        missing.append("no agent is connected")
-    return missing
-
-
-def _entries_to_name(membership: Membership, view: ConfigurationView) -> list[Member]:
-    """Return the live entry hosts that no operator drains."""
-    drained = drained_hosts(view)
-    return [m for m in membership.live("entry") if m.identity.name not in drained]
-
-
-def _group_hosts(hosts: HostList, group: str) -> list[GroupHost]:
-    """Return the listed hosts of a group, those that are leaving included."""
-    return [
-        GroupHost(host.name, host.peers)
-        for host in hosts.with_role("agent")
-        if host.upstream == group
-    ]
+        trio.run(EntryHost(settings).run)
 
 
 if __name__ == "__main__":
--- a/poplarward/programs/startup.py
+++ b/poplarward/programs/startup.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import trio
@@ -14,7 +15,7 @@
 from ..telemetry import configure_logs, get_logger
 from .settings import read_settings
 
-__all__ = ["EXIT_BAD_SETTINGS", "load", "wait_for_stop"]
+__all__ = ["EXIT_BAD_SETTINGS", "load", "watch_signals"]
 
 EXIT_BAD_SETTINGS = 2
 
@@ -41,10 +42,20 @@
     return settings
 
 
-async def wait_for_stop(what_is_cut: Any) -> None:
-    """Return at the first SIGTERM or SIGINT; a later one says what it would cut."""
+async def watch_signals(
+    stop_requested: trio.Event, n_in_progress: Callable[[], int]
+) -> None:
+    """Set the event at the first SIGTERM or SIGINT.
+
+    A later one changes nothing: it logs how many requests ending now would cut off,
+    so that an operator can decide to send SIGKILL.
+    """
     log = get_logger("stop")
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for number in signals:
-            log.info("stop.requested", signal=signal.Signals(number).name)
-            return
+            name = signal.Signals(number).name
+            if stop_requested.is_set():
+                log.warning("stop.would_cut", signal=name, n_requests=n_in_progress())
+            else:
+                log.info("stop.requested", signal=name, n_requests=n_in_progress())
+                stop_requested.set()
--- a/poplarward/transport/http_server.py
+++ b/poplarward/transport/http_server.py
@@ -25,7 +25,7 @@
     "serve_http",
 ]
 
-GRACEFUL_TIMEOUT_S = 5.0
+GRACEFUL_TIMEOUT_S = 120.0
 MAX_HEADER_BYTES = 16 * 1024
 
 log = get_logger("http")
