Name the budget of requests' retries AttemptBudget

Cause: two classes were called RetryBudget, one for calls of the object API and one for attempts at upstreams; a reader had to look at the import to tell them apart. Change: the latter is AttemptBudget.

--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -19,10 +19,10 @@
 from .payments import rank_owners, read_issued_key
 from .relay import Relay
 from .retries import (
+    AttemptBudget,
     Failure,
     GiveUp,
     Progress,
-    RetryBudget,
     combine_outcomes,
     next_step,
 )
@@ -102,14 +102,14 @@
         peers: Peers,
         relay: Relay,
         router: Router,
-        new_budget: Callable[[], RetryBudget] = RetryBudget,
+        new_budget: Callable[[], AttemptBudget] = AttemptBudget,
     ):
         self.n_attempts = 0
         self.keys = KeyIssuer(peers, router)
         self._peers = peers
         self._relay = relay
         self._router = router
-        self._budgets: defaultdict[str, RetryBudget] = defaultdict(new_budget)
+        self._budgets: defaultdict[str, AttemptBudget] = defaultdict(new_budget)
 
     async def run(self, request: CallerRequest, responder: Responder) -> None:
         """Answer a request, whatever becomes of its attempts."""
--- a/poplarward/requests/retries.py
+++ b/poplarward/requests/retries.py
@@ -12,7 +12,7 @@
     "GiveUp",
     "Progress",
     "Retry",
-    "RetryBudget",
+    "AttemptBudget",
     "combine_outcomes",
     "next_step",
 ]
@@ -78,7 +78,7 @@
     reason: str
 
 
-class RetryBudget:
+class AttemptBudget:
     """Bounds retries to a share of requests.
 
     Every request adds a share of a retry, and a retry takes a whole one, so over any
@@ -87,7 +87,7 @@
 
     Examples
     --------
-    >>> budget = RetryBudget(share=0.5, initial=0)
+    >>> budget = AttemptBudget(share=0.5, initial=0)
     >>> budget.note_request()
     >>> budget.take()
     False
@@ -119,7 +119,7 @@
 
 
 def next_step(
-    failure: Failure, progress: Progress, budget: RetryBudget
+    failure: Failure, progress: Progress, budget: AttemptBudget
 ) -> Retry | GiveUp:
     """Return what to do after a failed attempt.
 
