--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -35,6 +35,7 @@
 HEADERS = [("authorization", "Bearer caller"), ("content-type", "application/json")]
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 N_IDLE_STREAMS = 200
+HELD_TOKENS = 1_500
 
 
 class StreamTimes(NamedTuple):
@@ -117,7 +118,7 @@
 
 
 async def _hold_stream(client: HttpClient, prompt: str) -> None:
-    await stream_once(client, prompt, 100_000)
+    await stream_once(client, prompt, HELD_TOKENS)
 
 
 async def run(
