Count step time and skew of the groups that an entry host leads

Cause: the histograms were declared but nothing filled them; found while reading. Change: each observation of a group counts the mean step time since the last one and the estimated skew, in the entry host's registry. Measured: test_step_time_and_skew_are_counted passes; before, the controller took no metrics, so it could not have.

--- a/poplarward/coordination/group_set.py
+++ b/poplarward/coordination/group_set.py
@@ -13,6 +13,7 @@
 from ..errors import Finding, FindingsError, NotFound
 from ..protocol import Peers
 from ..state import FREEZE_KIND, ConfigurationView, ObjectStore, Writer
+from ..telemetry import GroupMetrics
 from .expert_maps import ChangeOutcome, GroupHost, MapCoordinator, MapRecord
 from .model_groups import GroupController, GroupState
 from .rebalancing import CostModel, PlannerWeights
@@ -45,6 +46,8 @@
         Says which groups this host leads.
     hosts : callable
         Returns the hosts of a group that are known.
+    metrics : GroupMetrics, optional
+        Where step time and skew of the groups led here are counted.
     """
 
     def __init__(
@@ -55,7 +58,9 @@
         view: ConfigurationView,
         roles: ControlRoles,
         hosts: Callable[[str], Sequence[GroupHost]],
+        metrics: GroupMetrics | None = None,
     ):
+        self._metrics = metrics
         self._peers = peers
         self._store = store
         self._writer = writer
@@ -145,7 +150,11 @@
             SLOWED_SHARE,
         )
         return GroupController(
-            coordinator, weights, costs, lambda: self._is_frozen(name)
+            coordinator,
+            weights,
+            costs,
+            lambda: self._is_frozen(name),
+            self._metrics,
         )
 
     def _is_frozen(self, name: str) -> bool:
--- a/poplarward/coordination/model_groups.py
+++ b/poplarward/coordination/model_groups.py
@@ -12,7 +12,7 @@
 import trio
 
 from ..protocol.expert_maps import ExpertCounts, GetExpertCounts, RankCounts
-from ..telemetry import get_logger
+from ..telemetry import GroupMetrics, get_logger
 from .expert_maps import ChangeOutcome, ChangeResult, MapCoordinator
 from .rebalancing import (
     CostModel,
@@ -71,6 +71,8 @@
         What moving weights costs this group.
     is_frozen : callable
         Tells whether operators have stopped automatic moves.
+    metrics : GroupMetrics, optional
+        Where step time and skew are counted.
     """
 
     def __init__(
@@ -79,7 +81,10 @@
         weights: PlannerWeights,
         costs: CostModel,
         is_frozen: Callable[[], bool] = lambda: False,
+        metrics: GroupMetrics | None = None,
     ):
+        self._metrics = metrics
+        self._last_step: tuple[int, float] | None = None
         self._is_frozen = is_frozen
         self._coordinator = coordinator
         self._planner = Planner(weights, costs)
@@ -167,8 +172,20 @@
             self._speeds.observe(counts.rank, n_tokens, counts.busy_us / 1000)
         self._loads.follow_drift(step)
         self._skew = self._estimate_skew(layers)
+        self._note_step(step)
         return True
 
+    def _note_step(self, step: int) -> None:
+        """Count the mean step time since the last observation, and the skew."""
+        now = trio.current_time()
+        if self._metrics is not None and self._last_step is not None:
+            last_step, last_time = self._last_step
+            if step > last_step:
+                step_ms = (now - last_time) * 1000 / (step - last_step)
+                group = self._coordinator.group
+                self._metrics.observe_step(group, step_ms, self._skew)
+        self._last_step = (step, now)
+
     def _estimate_skew(self, layers: Sequence[Layer]) -> float:
         assert self._loads is not None
         work = [
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -37,7 +37,7 @@
 )
 from ..requests.gateway import ADDRESS_KEEP_MS
 from ..state import ConfigurationView, HttpObjectStore, Writer, drained_hosts
-from ..telemetry import RequestMetrics, get_logger
+from ..telemetry import GroupMetrics, RequestMetrics, get_logger
 from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
 from .settings import EntrySettings, peers_network, tls_files
@@ -66,6 +66,7 @@
         self._close_callers = trio.Event()
         self._callers_served = trio.Event()
         self._member_changed = trio.Event()
+        self.metrics = RequestMetrics()
         self._make_coordination()
         self._make_requests()
         self._make_operations()
@@ -107,6 +108,7 @@
             self.view,
             self.roles,
             self._group_hosts,
+            GroupMetrics(self.metrics.registry),
         )
 
     def _make_requests(self) -> None:
@@ -125,7 +127,6 @@
             self.view,
             lambda: [member.identity for member in self.membership.live("entry")],
         )
-        self.metrics = RequestMetrics()
         self.gateway = Gateway(
             self.view,
             Admission(limits=self.limits),
--- a/tests/coordination/test_model_groups.py
+++ b/tests/coordination/test_model_groups.py
@@ -1,22 +1,24 @@
 from __future__ import annotations
 
 import trio
+from prometheus_client import CollectorRegistry
 
 from poplarward.coordination.model_groups import GroupController
 from poplarward.coordination.rebalancing import CostModel, PlannerWeights
+from poplarward.telemetry import GroupMetrics
 from tests.coordination.expert_maps.harness import Group
 
 COSTS = CostModel(1_000_000, 1e9, 1e8, step_ms=20.0, slowed_share=0.2)
 
 
-async def start_controller(nursery, frozen=False):
+async def start_controller(nursery, frozen=False, metrics=None):
     group = Group(nursery)
     group.ranks.loads = [300.0, 50.0, 40.0, 60.0]
     await group.start()
     await trio.sleep(1)
     leader = await group.start_coordinator()
     controller = GroupController(
-        leader.coordinator, PlannerWeights(3, 1), COSTS, lambda: frozen
+        leader.coordinator, PlannerWeights(3, 1), COSTS, lambda: frozen, metrics
     )
     await controller.start(nursery)
     return group, controller
@@ -36,6 +38,20 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_step_time_and_skew_are_counted(nursery, autojump_clock):
+    registry = CollectorRegistry()
+    group, _ = await start_controller(nursery, metrics=GroupMetrics(registry))
+    await trio.sleep(60)
+    labels = {"group": "drafts"}
+    n_seen = registry.get_sample_value("poplarward_step_seconds_count", labels)
+    total_s = registry.get_sample_value("poplarward_step_seconds_sum", labels)
+    assert n_seen >= 10
+    assert 0 < total_s / n_seen < 1
+    skew = registry.get_sample_value("poplarward_step_skew_ratio_sum", labels)
+    assert skew / n_seen >= 1
+    nursery.cancel_scope.cancel()
+
+
 async def test_frozen_group_moves_only_when_forced(nursery, autojump_clock):
     group, controller = await start_controller(nursery, frozen=True)
     await trio.sleep(60)
