Keep what an entry host was told in one record, not in five tables

Cause: read again, the load reporter held five tables with the same key, each filled and emptied on its own, with a default repeated at each look-up. Change: one record for each connected entry host. Behaviour stays as it was.

--- a/poplarward/requests/reporting.py
+++ b/poplarward/requests/reporting.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -44,24 +45,20 @@
         self._read_load = read_load
         self._n_reports = 0
         self._n_received = 0
-        self._last_sequences: dict[Connection, int] = {}
-        self._intervals_ms: dict[Connection, float] = {}
-        self._due: dict[Connection, float] = {}
-        self._sent: dict[Connection, AgentReport] = {}
-        self._sent_at: dict[Connection, float] = {}
+        self._receivers: defaultdict[Connection, _Receiver] = defaultdict(_Receiver)
         peers.register(ReportInterval, self._on_interval)
         peers.on_lost.append(self._on_lost)
 
     def note_received(self, connection: Connection, request_id: RequestId) -> None:
         """Count a request that arrived on a connection."""
         self._n_received += 1
-        last = self._last_sequences.get(connection, 0)
-        self._last_sequences[connection] = max(last, request_id.sequence)
+        receiver = self._receivers[connection]
+        receiver.last_sequence = max(receiver.last_sequence, request_id.sequence)
 
     def due_report(self, connection: Connection) -> AgentReport | None:
         """Return the report to send along with answers, None if none is due."""
         earliest = trio.current_time() + EARLY_WITH_ANSWERS_MS / 1000
-        if self._due.get(connection, 0.0) > earliest:
+        if self._receivers[connection].due_at > earliest:
             return None
         return self._next_report(connection)
 
@@ -70,7 +67,7 @@
         while True:
             now = trio.current_time()
             for connection in list(self._peers.accepted):
-                if self._due.get(connection, 0.0) <= now:
+                if self._receivers[connection].due_at <= now:
                     await self._send_if_news(connection)
             await trio.sleep(MIN_INTERVAL_MS / 1000)
 
@@ -80,9 +77,10 @@
             await self._send(connection)
 
     async def _send_if_news(self, connection: Connection) -> None:
-        idle_since = self._sent_at.get(connection, -math.inf)
-        is_quiet = trio.current_time() - idle_since < IDLE_INTERVAL_MS / 1000
-        if is_quiet and self._load_of(connection) == self._sent.get(connection):
+        receiver = self._receivers[connection]
+        silent_s = trio.current_time() - receiver.sent_at
+        is_quiet = silent_s < IDLE_INTERVAL_MS / 1000
+        if is_quiet and self._load_for(receiver) == receiver.sent:
             return
         await self._send(connection)
 
@@ -93,19 +91,19 @@
             log.info("report.failed", reason=str(error))
 
     def _next_report(self, connection: Connection) -> AgentReport:
+        receiver = self._receivers[connection]
         now = trio.current_time()
-        interval_ms = self._intervals_ms.get(connection, MIN_INTERVAL_MS)
-        self._due[connection] = now + interval_ms / 1000
-        self._sent_at[connection] = now
-        self._sent[connection] = self._load_of(connection)
+        receiver.due_at = now + receiver.interval_ms / 1000
+        receiver.sent_at = now
+        receiver.sent = self._load_for(receiver)
         self._n_reports += 1
-        return replace(self._sent[connection], report_number=self._n_reports)
+        return replace(receiver.sent, report_number=self._n_reports)
 
-    def _load_of(self, connection: Connection) -> AgentReport:
+    def _load_for(self, receiver: _Receiver) -> AgentReport:
         """Return the report without its number, to compare loads."""
         return replace(
             self._read_load(),
-            last_sequence=self._last_sequences.get(connection, 0),
+            last_sequence=receiver.last_sequence,
             n_received=self._n_received,
         )
 
@@ -113,14 +111,30 @@
         self, connection: Connection, message: ReportInterval
     ) -> None:
         interval_ms = min(MAX_INTERVAL_MS, max(MIN_INTERVAL_MS, message.interval_ms))
-        self._intervals_ms[connection] = interval_ms
+        self._receivers[connection].interval_ms = interval_ms
 
     def _on_lost(self, connection: Connection) -> None:
-        for held in (
-            self._last_sequences,
-            self._intervals_ms,
-            self._due,
-            self._sent,
-            self._sent_at,
-        ):
-            held.pop(connection, None)
+        self._receivers.pop(connection, None)
+
+
+@dataclass
+class _Receiver:
+    """What one connected entry host was told, and when it is told again.
+
+    Attributes
+    ----------
+    last_sequence : int
+        Sequence of the last of its requests that arrived.
+    interval_ms : float
+        How often it asked to be told.
+    due_at, sent_at : float
+        When the next report is due and the last one went, in seconds.
+    sent : AgentReport, optional
+        The last report, without its number.
+    """
+
+    last_sequence: int = 0
+    interval_ms: float = MIN_INTERVAL_MS
+    due_at: float = 0.0
+    sent_at: float = -math.inf
+    sent: AgentReport | None = None
