Admit streams to an engine by the memory that they hold

Cause: an agent admitted by slots alone, so long streams overflowed an engine's KV memory, and the engine had to evict streams and compute them anew. Change: FairSlots takes the engine's memory besides its slots. A stream is admitted while what all hold now, with its prompt, stays below the limit less a headroom; urgent work may use the headroom and is not overtaken by drafting. Entry hosts send the prompt's estimated tokens.

--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -63,6 +63,7 @@
         section["name"],
         section["url"],
         section["n_slots"],
+        section.get("kv_limit_tokens", 0),
     )
     peers = Peers(peers_network(settings), identity, settings["peer_secret"])
     store = HttpObjectStore(settings["platform_url"])
--- a/poplarward/programs/settings.py
+++ b/poplarward/programs/settings.py
@@ -62,13 +62,15 @@
     """The upstream that an agent stands before.
 
     ``ranks`` numbers the ranks of its model group that an engine's host runs; without
-    them the host takes no part in changes of the expert map.
+    them the host takes no part in changes of the expert map. ``kv_limit_tokens`` is
+    what an engine's memory holds; without it only slots bound what is admitted.
     """
 
     kind: Literal["engine", "plain"]
     name: str
     url: str
     n_slots: int
+    kv_limit_tokens: NotRequired[int]
     ranks: NotRequired[list[int]]
 
 
--- a/poplarward/protocol/requests.py
+++ b/poplarward/protocol/requests.py
@@ -78,6 +78,8 @@
         The workspace's share of the upstream within its class.
     n_tokens : int
         Tokens that the request is expected to take.
+    n_prompt_tokens : int
+        Those of them that are its prompt; 0 for plain services.
     """
 
     request_id: RequestId
@@ -93,6 +95,7 @@
     n_pieces_received: int = 0
     share: float = 1.0
     n_tokens: int = 1
+    n_prompt_tokens: int = 0
 
 
 @message(11)
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -220,6 +220,7 @@
             n_pieces_received=progress.answer.n_pieces,
             share=request.share,
             n_tokens=request.n_tokens,
+            n_prompt_tokens=request.n_prompt_tokens,
         )
 
     async def _follow(
--- a/poplarward/requests/caller.py
+++ b/poplarward/requests/caller.py
@@ -34,6 +34,7 @@
     prefix_digest: str = ""
     share: float = 1.0
     n_tokens: int = 1
+    n_prompt_tokens: int = 0
 
     @property
     def is_keyed(self) -> bool:
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -26,6 +26,7 @@
 )
 from ..telemetry import get_logger
 from .health import UpstreamHealth
+from .kv_admission import KvMemory, KvShare
 from .outcomes import OutcomeRecord
 from .packing import PiecePacker
 from .payments import Declined, Payments, Record, Recorded
@@ -111,7 +112,8 @@
         self._settings = settings
         self._upstream = Upstream(settings, client)
         self._payments = payments
-        self._slots = FairSlots(settings.n_slots)
+        memory = KvMemory(settings.kv_limit_tokens)
+        self._slots = FairSlots(settings.n_slots, memory)
         self._attempts: dict[RequestId, _Attempt] = {}
         self._outcomes = OutcomeRecord()
         self._packers: dict[Connection, PiecePacker] = {}
@@ -279,7 +281,7 @@
             return _overloaded(attempt, error)
 
     async def _run_with_slot(self, attempt: _Attempt) -> End | None:
-        async with self._slots.hold(_demand(attempt.submit)):
+        async with self._slots.hold(_demand(attempt.submit)) as share:
             # A slot may be handed over in the same step as the bar was answered.
             if attempt.barred:
                 return None
@@ -287,9 +289,9 @@
             if not attempt.submit.repeatable:
                 # Its outcome is worth more than the deadline.
                 attempt.scope.deadline = trio.current_time() + 1e9
-            return await self._forward(attempt)
+            return await self._forward(attempt, share)
 
-    async def _forward(self, attempt: _Attempt) -> End:
+    async def _forward(self, attempt: _Attempt, share: KvShare) -> End:
         """Forward one attempt; returns its end."""
         submit = attempt.submit
         try:
@@ -303,6 +305,7 @@
                         submit.request_id, attempt.n_pieces, piece, answer.has_events
                     )
                     attempt.n_pieces += 1
+                    share.grow()
                     if attempt.is_keyed:
                         attempt.body.append(piece)
             return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
@@ -342,6 +345,8 @@
         submit.share,
         max(1, submit.n_tokens),
         submit.deadline_ms,
+        # A resumed answer is in the engine's memory as if it were prompt.
+        submit.n_prompt_tokens + submit.n_pieces_received,
     )
 
 
--- a/poplarward/requests/reading.py
+++ b/poplarward/requests/reading.py
@@ -33,6 +33,7 @@
     default_class: PriorityClass
     prefix_digest: str = ""
     n_tokens: int = 1
+    n_prompt_tokens: int = 0
 
 
 async def read_caller_request(
@@ -70,6 +71,7 @@
         prefix_digest=target.prefix_digest,
         share=directory.share(workspace),
         n_tokens=target.n_tokens,
+        n_prompt_tokens=target.n_prompt_tokens,
     )
 
 
@@ -95,13 +97,15 @@
         document = _read_completion(body)
         group = directory.model_group(document["model"])
         prompt = document["prompt"]
+        n_prompt_tokens = len(prompt) // CHARACTERS_PER_TOKEN
         return _Target(
             group,
             request.target,
             True,
             PriorityClass.DRAFTING,
             prefix_digest(prompt),
-            document.get("max_tokens", 1) + len(prompt) // CHARACTERS_PER_TOKEN,
+            document.get("max_tokens", 1) + n_prompt_tokens,
+            n_prompt_tokens,
         )
     if not request.target.startswith(SERVICES_PREFIX):
         raise CallerError(404, f"no such path: {request.path[:80]}")
--- a/poplarward/requests/slots.py
+++ b/poplarward/requests/slots.py
@@ -19,6 +19,7 @@
 
 from ..errors import Refused
 from ..protocol.requests import PriorityClass
+from .kv_admission import KvMemory, KvShare
 
 __all__ = ["Demand", "FairSlots"]
 
@@ -39,6 +40,8 @@
         Tokens expected, at least 1.
     deadline_ms : float
         Time left for the whole answer.
+    n_prompt_tokens : int
+        Tokens that the engine's memory holds from the start; 0 for plain services.
     """
 
     priority_class: PriorityClass
@@ -46,6 +49,12 @@
     share: float
     n_tokens: int
     deadline_ms: float
+    n_prompt_tokens: int = 0
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether it goes before drafting."""
+        return self.priority_class is PriorityClass.URGENT
 
 
 class _Waiter:
@@ -55,7 +64,7 @@
         self.demand = demand
         self.start_tag = start_tag
         self.settled = trio.Event()
-        self.has_slot = False
+        self.share: KvShare | None = None
         self.retry_after_ms = 0.0
 
 
@@ -78,6 +87,10 @@
         self._finish_tags[demand.workspace] = waiter.start_tag + n_weighted
         heapq.heappush(self.queue, (waiter.start_tag, next(self._order), waiter))
 
+    def first(self) -> _Waiter:
+        """Return the request that would be served next."""
+        return self.queue[0][2]
+
     def take(self) -> _Waiter:
         """Return the next request and advance the virtual time to it."""
         waiter = heapq.heappop(self.queue)[2]
@@ -113,11 +126,14 @@
     ----------
     n_slots : int
         Requests that the upstream runs at once.
+    memory : KvMemory, optional
+        The engine's memory, which a request needs room in besides its slot.
     """
 
-    def __init__(self, n_slots: int):
+    def __init__(self, n_slots: int, memory: KvMemory | None = None):
         self._n_slots = n_slots
         self._n_kept = int(n_slots * KEPT_SHARE)
+        self._memory = memory or KvMemory(0)
         self._n_held = 0
         self._n_drafting = 0
         self._ms_per_token: float | None = None
@@ -130,8 +146,8 @@
         return len(self._urgent.queue) + len(self._drafting.queue)
 
     @asynccontextmanager
-    async def hold(self, demand: Demand) -> AsyncIterator[None]:
-        """Hold a slot for the length of a block.
+    async def hold(self, demand: Demand) -> AsyncIterator[KvShare]:
+        """Hold a slot, and memory that the request makes grow, for a block.
 
         Raises `Refused` at once if the answer can't be whole within the deadline, or
         as soon as others with a better claim have filled the queue.
@@ -140,26 +156,27 @@
         try:
             await waiter.settled.wait()
         except trio.Cancelled:
-            if waiter.has_slot:
-                self._release(demand)
+            if waiter.share is not None:
+                self._release(demand, waiter.share)
             else:
                 self._flows(demand).remove(waiter)
+                self._serve()
             raise
-        if not waiter.has_slot:
+        if waiter.share is None:
             raise Refused("the upstream's queue is full", waiter.retry_after_ms)
         began = trio.current_time()
         try:
-            yield
+            yield waiter.share
         finally:
             self._note_time(demand, 1000 * (trio.current_time() - began))
-            self._release(demand)
+            self._release(demand, waiter.share)
 
     def _enqueue(self, demand: Demand) -> _Waiter:
         flows = self._flows(demand)
         waiter = _Waiter(demand, flows.start_tag(demand))
         late_ms = self.wait_ms(demand) + self._run_ms(demand) - demand.deadline_ms
         # One that need not wait is tried, so that a wrong estimate can be corrected.
-        if late_ms > 0 and not self._may_start(demand.priority_class):
+        if late_ms > 0 and not self._starts_at_once(demand):
             reason = "the answer can't be whole within its deadline"
             raise Refused(reason, max(MIN_RETRY_AFTER_MS, late_ms))
         flows.put(waiter)
@@ -170,46 +187,61 @@
 
     def wait_ms(self, demand: Demand) -> float:
         """Return how long a request that arrives now would wait, estimated."""
-        if self._may_start(demand.priority_class) or self._ms_per_token is None:
+        if self._starts_at_once(demand) or self._ms_per_token is None:
             return 0.0
         flows = self._flows(demand)
         n_tokens = flows.n_tokens_before(flows.start_tag(demand))
         n_slots = self._n_slots
-        if demand.priority_class is PriorityClass.DRAFTING:
+        if not demand.is_urgent:
             n_tokens += self._urgent.n_tokens_before(float("inf"))
             n_slots -= self._n_kept
+        if self._has_slot(demand):
+            # Memory is what it waits for, so no more run at once than now.
+            n_slots = self._n_held
         return n_tokens * self._ms_per_token / max(1, n_slots)
 
     def _run_ms(self, demand: Demand) -> float:
         return demand.n_tokens * (self._ms_per_token or 0.0)
 
     def _flows(self, demand: Demand) -> _Flows:
-        is_urgent = demand.priority_class is PriorityClass.URGENT
-        return self._urgent if is_urgent else self._drafting
+        return self._urgent if demand.is_urgent else self._drafting
+
+    def _starts_at_once(self, demand: Demand) -> bool:
+        """Whether it may start and none that goes before it waits for memory."""
+        waits = self._urgent.queue or (not demand.is_urgent and self._drafting.queue)
+        return not waits and self._may_start(demand)
+
+    def _may_start(self, demand: Demand) -> bool:
+        return self._has_slot(demand) and self._memory.has_room(
+            demand.n_prompt_tokens, use_headroom=demand.is_urgent
+        )
 
-    def _may_start(self, priority_class: PriorityClass) -> bool:
-        if priority_class is PriorityClass.URGENT:
+    def _has_slot(self, demand: Demand) -> bool:
+        if demand.is_urgent:
             return self._n_held < self._n_slots
         n_allowed = max(1, self._n_slots - self._n_kept)
         return self._n_held < self._n_slots and self._n_drafting < n_allowed
 
     def _serve(self) -> None:
-        """Give free slots to those who are next."""
-        while self._urgent.queue and self._may_start(PriorityClass.URGENT):
+        """Give free slots to those who are next; none overtakes for its size."""
+        while self._urgent.queue and self._may_start(self._urgent.first().demand):
             self._grant(self._urgent.take())
-        while self._drafting.queue and self._may_start(PriorityClass.DRAFTING):
+        if self._urgent.queue:
+            return
+        while self._drafting.queue and self._may_start(self._drafting.first().demand):
             self._grant(self._drafting.take())
 
     def _grant(self, waiter: _Waiter) -> None:
         self._n_held += 1
-        if waiter.demand.priority_class is PriorityClass.DRAFTING:
+        if not waiter.demand.is_urgent:
             self._n_drafting += 1
-        waiter.has_slot = True
+        waiter.share = self._memory.take(waiter.demand.n_prompt_tokens)
         waiter.settled.set()
 
-    def _release(self, demand: Demand) -> None:
+    def _release(self, demand: Demand, share: KvShare) -> None:
+        share.release()
         self._n_held -= 1
-        if demand.priority_class is PriorityClass.DRAFTING:
+        if not demand.is_urgent:
             self._n_drafting -= 1
         self._serve()
 
--- a/poplarward/requests/upstream.py
+++ b/poplarward/requests/upstream.py
@@ -39,12 +39,15 @@
         Where the upstream listens, by IP number.
     n_slots : int
         Requests that it runs at once.
+    kv_limit_tokens : int
+        Tokens that an engine's memory holds; 0 for no limit.
     """
 
     kind: UpstreamKind
     name: str
     url: str
     n_slots: int
+    kv_limit_tokens: int = 0
 
 
 class UpstreamClient(Protocol):
