Measure the memory of a thousand open streams

Cause: the figure for 1,000 open streams was worked out from 200, on an engine fast enough that the entry host was busy with their pieces.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -13,6 +13,7 @@
   --tokens N     Tokens of each answer [default: 100].
   --rounds N     Rounds of streams, direct and relayed [default: 3].
   --step-ms MS   Time of one step of the engine [default: 20].
+  --held N       Slow streams held open to measure memory [default: 1000].
   --profile DIR  Write profiles of the entry host and the agent there.
 """
 
@@ -34,8 +35,10 @@
 
 HEADERS = [("authorization", "Bearer caller"), ("content-type", "application/json")]
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-N_IDLE_STREAMS = 200
-HELD_TOKENS = 1_500
+HELD_TOKENS = 600
+HELD_STEP_MS = 1_000
+HELD_START_S = 5.0
+HELD_SETTLE_S = 4.0
 
 
 class StreamTimes(NamedTuple):
@@ -58,10 +61,12 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
-async def stream_once(client: HttpClient, prompt: str, n_tokens: int) -> StreamTimes:
+async def stream_once(
+    client: HttpClient, prompt: str, n_tokens: int, model: str = "portrait"
+) -> StreamTimes:
     """Stream one completion and time its pieces."""
     body = json.dumps(
-        {"model": "portrait", "prompt": prompt, "max_tokens": n_tokens}
+        {"model": model, "prompt": prompt, "max_tokens": n_tokens}
     ).encode()
     started_at = trio.current_time()
     arrivals: list[float] = []
@@ -101,24 +106,46 @@
     return {f"p{p}": round(cuts[p - 1], 2) for p in (50, 95, 99)}
 
 
-async def measure_memory(deployment: Deployment, url: str) -> float:
-    """Return the entry host's memory for each open stream, in bytes."""
-    pid = deployment.processes["entry-1"].popen.pid
-    before = rss_bytes(pid)
-    client = HttpClient(url, n_connections=N_IDLE_STREAMS)
+async def start_group(
+    deployment: Deployment, group: str, model: str, step_ms: float, n_slots: int
+) -> str:
+    """Start a model group of one engine and its agent; returns the engine's URL."""
+    engine = await deployment.start_standin(
+        f"engine-{group}",
+        "engine",
+        ["--step-ms", str(step_ms), "--slots", str(n_slots)],
+    )
+    url = f"http://{engine.host}:7000"
+    await deployment.start_agent(
+        f"agent-{group}", "rennes", "engine", group, url, n_slots=n_slots
+    )
+    return url
+
+
+async def measure_memory(
+    deployment: Deployment, url: str, n_streams: int
+) -> dict[str, float]:
+    """Return the bytes that entry host and agent hold for each open stream."""
+    pids = {
+        name: deployment.processes[name].popen.pid for name in ("entry-1", "agent-held")
+    }
+    before = {name: rss_bytes(pid) for name, pid in pids.items()}
+    client = HttpClient(url, n_connections=n_streams)
     async with trio.open_nursery() as nursery:
-        for i in range(N_IDLE_STREAMS):
-            nursery.start_soon(_hold_stream, client, f"held {i}")
-        await trio.sleep(4)
-        after = rss_bytes(pid)
+        for i in range(n_streams):
+            await trio.sleep(HELD_START_S / n_streams)
+            nursery.start_soon(
+                stream_once, client, f"held {i}", HELD_TOKENS, "portrait-held"
+            )
+        await trio.sleep(HELD_SETTLE_S)
+        after = {name: rss_bytes(pid) for name, pid in pids.items()}
         nursery.cancel_scope.cancel()
     with trio.CancelScope(shield=True):
         await client.close()
-    return (after - before) / N_IDLE_STREAMS
-
-
-async def _hold_stream(client: HttpClient, prompt: str) -> None:
-    await stream_once(client, prompt, HELD_TOKENS)
+    return {
+        name.partition("-")[0]: round((after[name] - before[name]) / n_streams)
+        for name in pids
+    }
 
 
 async def run(
@@ -127,26 +154,25 @@
     n_tokens: int,
     n_rounds: int,
     step_ms: float,
+    n_held: int,
     profile_directory: str,
 ) -> dict[str, Any]:
     """Measure both ways and return the figures."""
     rng = random.Random(seed)
     async with Deployment(profile_directory=profile_directory) as deployment:
-        engine = await deployment.start_standin(
-            "engine", "engine", ["--step-ms", str(step_ms), "--slots", "256"]
-        )
-        direct_url = f"http://{engine.host}:7000"
-        await deployment.start_agent(
-            "agent-1", "rennes", "engine", "drafts", direct_url, n_slots=256
+        direct_url = await start_group(
+            deployment, "drafts", "portrait", step_ms, n_slots=256
         )
+        await start_group(deployment, "held", "portrait-held", HELD_STEP_MS, 2 * n_held)
         await deployment.start_entry("entry-1", "rennes")
         await deployment.apply("entry-1", workspace("ateliers", "caller"))
         await deployment.apply("entry-1", model_group("drafts", "portrait"))
+        await deployment.apply("entry-1", model_group("held", "portrait-held"))
         entry_url = "http://" + deployment.settings["entry-1"]["callers_listen"]
         await wait_until_served(entry_url)
         direct: list[StreamTimes] = []
         relayed: list[StreamTimes] = []
-        used = dict.fromkeys(("entry-1", "agent-1", "engine"), 0.0)
+        used = dict.fromkeys(("entry-1", "agent-drafts", "engine-drafts"), 0.0)
         relayed_s = 0.0
         for _ in range(n_rounds):
             direct += await stream_many(direct_url, rng, n_streams, n_tokens)
@@ -156,8 +182,8 @@
             relayed_s += trio.current_time() - began
             for name, start in before.items():
                 used[name] += cpu_s(deployment.processes[name].popen.pid) - start
-        memory = await measure_memory(deployment, entry_url)
-        for name in ("entry-1", "agent-1"):
+        memory = await measure_memory(deployment, entry_url, n_held)
+        for name in ("entry-1", "agent-drafts"):
             await deployment.processes[name].stop()
     n_pieces = sum(times.n_pieces for times in relayed)
     return {
@@ -180,8 +206,9 @@
             name: round(1e6 * seconds / n_pieces, 1) for name, seconds in used.items()
         },
         "entry_pieces_per_core_s": round(n_pieces / used["entry-1"]),
-        "agent_pieces_per_core_s": round(n_pieces / used["agent-1"]),
-        "entry_bytes_per_open_stream": round(memory),
+        "agent_pieces_per_core_s": round(n_pieces / used["agent-drafts"]),
+        "n_held": n_held,
+        "bytes_per_open_stream": memory,
     }
 
 
@@ -208,6 +235,7 @@
         int(arguments["--tokens"]),
         int(arguments["--rounds"]),
         float(arguments["--step-ms"]),
+        int(arguments["--held"]),
         arguments["--profile"] or "",
     )
     if arguments["--json"]:
