Split the agent's executor into small modules

Change: in_hand.py holds the attempt in hand, running.py runs one attempt in a slot and its key's turn, ends.py builds the ends; execution.py keeps admission, bars, reports and draining. No change of behaviour.

Ruled out: a base class for the executor; the parts share no state but the attempt.

--- /dev/null
+++ b/poplarward/requests/ends.py
@@ -0,0 +1,65 @@
+"""Builds the ends of attempts that got no whole answer from the upstream."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from ..errors import Refused
+from ..protocol.reports import UpstreamState
+from ..protocol.requests import End, Head, Outcome, Refusal, Submit
+from .in_hand import AttemptInHand
+from .payments import Record
+
+__all__ = ["cut_short", "overloaded", "refused_by_state", "replay"]
+
+
+def refused_by_state(submit: Submit, state: UpstreamState) -> End:
+    """Return the end of an attempt that came while no new ones are taken."""
+    return End(
+        submit.request_id,
+        Outcome.NOT_RUN,
+        submit.n_pieces_received,
+        f"agent is {state}",
+        refusal=Refusal.LEAVING,
+    )
+
+
+def overloaded(attempt: AttemptInHand, error: Refused) -> End:
+    """Return the end of an attempt that got no slot."""
+    return End(
+        attempt.submit.request_id,
+        Outcome.NOT_RUN,
+        attempt.n_pieces,
+        str(error),
+        int(error.retry_after_ms),
+        Refusal.OVERLOADED,
+    )
+
+
+def cut_short(attempt: AttemptInHand) -> End:
+    """Return the end of an attempt that was stopped or ran out of time."""
+    end = End(
+        attempt.submit.request_id,
+        Outcome.NOT_RUN,
+        attempt.n_pieces,
+        "stopped before its start",
+        refusal=Refusal.NONE if attempt.barred else Refusal.DEADLINE,
+    )
+    if attempt.started:
+        reason = "stopped while it ran"
+        return dataclasses.replace(end, outcome=Outcome.UNKNOWN, error=reason)
+    return end
+
+
+def replay(attempt: AttemptInHand, record: Record) -> End:
+    """Answer an attempt from the record of its key; returns its end."""
+    request_id = attempt.submit.request_id
+    if record.is_cut:
+        reason = f"it ran before with status {record.status}; its answer was not kept"
+        return End(request_id, Outcome.RAN, 0, reason)
+    headers = [("content-type", record.content_type)]
+    attempt.packer.head(Head(request_id, record.status, headers))
+    if record.body:
+        attempt.packer.add(request_id, 0, record.body, is_stream=False)
+        attempt.n_pieces = 1
+    return End(request_id, Outcome.RAN, attempt.n_pieces)
--- /dev/null
+++ b/poplarward/requests/in_hand.py
@@ -0,0 +1,53 @@
+"""An attempt that an agent has in hand, from its arrival to its end."""
+
+from __future__ import annotations
+
+import trio
+
+from ..protocol import Connection
+from ..protocol.requests import Head, Submit
+from .packing import PiecePacker
+
+__all__ = ["AttemptInHand"]
+
+
+class AttemptInHand:
+    """An attempt in hand.
+
+    Attributes
+    ----------
+    started : bool
+        Whether the upstream may have received it.
+    barred : bool
+        Whether it was promised that it never starts.
+    """
+
+    def __init__(self, submit: Submit, connection: Connection, packer: PiecePacker):
+        self.submit = submit
+        self.connection = connection
+        self.packer = packer
+        self.scope = trio.CancelScope()
+        self.ended = trio.Event()
+        self.started = False
+        self.barred = False
+        self.n_pieces = submit.n_pieces_received
+        self.head: Head | None = None
+        self.body: list[bytes] = []
+
+    @property
+    def is_keyed(self) -> bool:
+        """Whether its key decides if it may run."""
+        return bool(self.submit.idempotency_key) and not self.submit.repeatable
+
+    @property
+    def has_piece(self) -> bool:
+        """Whether the upstream has begun its answer."""
+        return self.n_pieces > self.submit.n_pieces_received
+
+    def stop(self) -> None:
+        """Stop it, unless it is running and may not be repeated."""
+        if not self.started:
+            self.barred = True
+            self.scope.cancel()
+        elif self.submit.repeatable:
+            self.scope.cancel()
--- /dev/null
+++ b/poplarward/requests/running.py
@@ -0,0 +1,130 @@
+"""Runs one attempt at a time in a slot of the upstream and forwards its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..errors import Refused, UpstreamUnreachable
+from ..protocol.requests import End, Head, Outcome, Submit
+from .ends import overloaded, replay
+from .health import UpstreamHealth
+from .in_hand import AttemptInHand
+from .payments import Declined, Payments, Recorded
+from .slots import Demand, FairSlots
+from .upstream import Upstream
+
+__all__ = ["AttemptRunner"]
+
+
+class AttemptRunner:
+    """Brings attempts to the upstream, each in a slot and its key's turn.
+
+    Parameters
+    ----------
+    upstream : Upstream
+    n_slots : int
+        Requests that the upstream runs at once.
+    health : UpstreamHealth
+        Is told whether the upstream takes connections.
+    refused : callable
+        Called when the upstream has refused a connection.
+    payments : Payments, optional
+        Lets the calls of each idempotency key run at most once.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        n_slots: int,
+        health: UpstreamHealth,
+        refused: Callable[[], Awaitable[None]],
+        payments: Payments | None = None,
+    ):
+        self._upstream = upstream
+        self._slots = FairSlots(n_slots)
+        self._health = health
+        self._refused = refused
+        self._payments = payments
+
+    async def run(self, attempt: AttemptInHand) -> End | None:
+        """Run an attempt; returns its end, None if it was stopped."""
+        if self._payments is not None and attempt.is_keyed:
+            return await self._run_once(attempt, self._payments)
+        return await self._run_in_slot(attempt)
+
+    async def _run_once(self, attempt: AttemptInHand, payments: Payments) -> End | None:
+        """Run an attempt unless its key has been used; returns its end."""
+        submit = attempt.submit
+        match await payments.begin(submit):
+            case Recorded(record):
+                return replay(attempt, record)
+            case Declined(refusal, outcome, reason, retry_after_ms):
+                return End(
+                    submit.request_id, outcome, 0, reason, retry_after_ms, refusal
+                )
+        end = None
+        try:
+            end = await self._run_in_slot(attempt)
+            return end
+        finally:
+            if not attempt.started or (end and end.outcome is Outcome.NOT_RUN):
+                payments.release(submit)
+            elif end and end.outcome is Outcome.RAN and attempt.head:
+                content_type = dict(attempt.head.headers).get("content-type", "")
+                body = b"".join(attempt.body)
+                payments.finish(submit, attempt.head.status, content_type, body)
+            else:
+                payments.lose(submit)
+
+    async def _run_in_slot(self, attempt: AttemptInHand) -> End | None:
+        try:
+            return await self._run_with_slot(attempt)
+        except Refused as error:
+            return overloaded(attempt, error)
+
+    async def _run_with_slot(self, attempt: AttemptInHand) -> End | None:
+        async with self._slots.hold(_demand(attempt.submit)):
+            # A slot may be handed over in the same step as the bar was answered.
+            if attempt.barred:
+                return None
+            attempt.started = True
+            if not attempt.submit.repeatable:
+                # Its outcome is worth more than the deadline.
+                attempt.scope.deadline = trio.current_time() + 1e9
+            return await self._forward(attempt)
+
+    async def _forward(self, attempt: AttemptInHand) -> End:
+        """Forward one attempt; returns its end."""
+        submit = attempt.submit
+        try:
+            async with self._upstream.forward(submit) as answer:
+                self._health.succeeded()
+                head = Head(submit.request_id, answer.status, answer.headers)
+                attempt.packer.head(head)
+                attempt.head = head
+                async for piece in answer.pieces():
+                    attempt.packer.add(
+                        submit.request_id, attempt.n_pieces, piece, answer.has_events
+                    )
+                    attempt.n_pieces += 1
+                    if attempt.is_keyed:
+                        attempt.body.append(piece)
+            return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
+        except UpstreamUnreachable as error:
+            if not error.sent:
+                await self._refused()
+            outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
+            reason = f"upstream: {error}"
+            return End(submit.request_id, outcome, attempt.n_pieces, reason)
+
+
+def _demand(submit: Submit) -> Demand:
+    return Demand(
+        submit.priority_class,
+        submit.workspace,
+        submit.share,
+        max(1, submit.n_tokens),
+        submit.deadline_ms,
+    )
