Let a restarted agent learn its fence from its peers

Cause: the agent program gave FenceKeeper no way to find the group's other agents, so one that started while the store was away refused every order until the store was back. Only the parts were tested, not the program.

Ruled out: reading the platform's host list in every agent, since its load would grow with the agents; pushing the list from entry hosts, a steady cost for a rare need.

The agent's parts move into AgentHost, like EntryHost.

test_restarted_agent_learns_the_fence_from_its_peers_without_the_store fails against the unchanged code (no fence.learnt in 30 s) and passes now.

--- a/benchmarks/expert_map_ways.py
+++ b/benchmarks/expert_map_ways.py
@@ -245,7 +245,7 @@
         host = self.hosts[index]
         identity = ProcessIdentity("agent", host.name, 1, host.address, "a")
         peers = Peers(self.network.host(host.address.host), identity, "s")
-        fences = FenceKeeper(peers, self.store, "group", "lease", list)
+        fences = FenceKeeper(peers, self.store, "group", "lease", _no_peers)
         engine = self.ranks.engines[index]
         keeper = MapKeeper(peers, "group", engine, fences, [index])
         await fences.start(self._nursery)
@@ -258,3 +258,7 @@
         identity = ProcessIdentity("entry", host, self.fence, Address(host, 9000), "a")
         self.coordinator_peers = Peers(self.network.host(host), identity, "s")
         await self.coordinator_peers.start(self._nursery)
+
+
+async def _no_peers() -> list[Address]:
+    return []
--- a/poplarward/coordination/fencing.py
+++ b/poplarward/coordination/fencing.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import trio
 
@@ -74,7 +74,7 @@
     ----------
     lease_name : str
         Lease that the scope's orders are given under.
-    peer_addresses : callable
+    peer_addresses : coroutine function
         Returns the addresses of all other agents of the scope, None while they are
         not known.
     """
@@ -85,7 +85,7 @@
         store: ObjectStore,
         scope: str,
         lease_name: str,
-        peer_addresses: Callable[[], Iterable[Address] | None],
+        peer_addresses: Callable[[], Awaitable[Iterable[Address] | None]],
     ):
         self.guard = FenceGuard(scope)
         self.learnt = trio.Event()
@@ -121,7 +121,7 @@
 
     async def _fence_of_peers(self) -> int | None:
         """Return the greatest number of all peers, None unless all know theirs."""
-        addresses = self._peer_addresses()
+        addresses = await self._peer_addresses()
         if addresses is None:
             return None
         replies: list[int | None] = []
--- /dev/null
+++ b/poplarward/programs/agent_host.py
@@ -0,0 +1,133 @@
+"""An agent: its parts, put together, started and stopped in order."""
+
+from __future__ import annotations
+
+import trio
+from prometheus_client import REGISTRY, generate_latest
+
+from ..coordination import ConfigurationSync, FenceKeeper, Presence, map_role
+from ..coordination.expert_maps import HttpEngineControl, MapKeeper
+from ..coordination.group_agents import ask_group_agents
+from ..coordination.roles import slot_of
+from ..protocol import Peers, ProcessIdentity
+from ..protocol.identity import new_start_id
+from ..protocol.reports import UpstreamKind, UpstreamState
+from ..requests import Executor, UpstreamSettings
+from ..requests.payments import Payments
+from ..state import ConfigurationView, HttpObjectStore
+from ..telemetry import get_logger
+from ..transport import Address, HttpClient, asgi_application, serve_http
+from .monitoring import Monitoring
+from .settings import AgentSettings, peers_network, tls_files
+from .startup import watch_signals
+
+__all__ = ["AgentHost"]
+
+N_ENGINE_CONNECTIONS = 8
+
+log = get_logger("agent")
+
+
+class AgentHost:
+    """The agent of one upstream host.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Checked settings of the program.
+    """
+
+    def __init__(self, settings: AgentSettings):
+        self._settings = settings
+        self._stop_requested = trio.Event()
+        identity = ProcessIdentity(
+            role="agent",
+            name=settings["name"],
+            start_id=new_start_id(),
+            address=Address.parse(settings["peers_listen"]),
+            data_centre=settings["data_centre"],
+        )
+        section = settings["upstream"]
+        self.upstream = UpstreamSettings(
+            UpstreamKind(section["kind"]),
+            section["name"],
+            section["url"],
+            section["n_slots"],
+        )
+        self.peers = Peers(peers_network(settings), identity, settings["peer_secret"])
+        self.store = HttpObjectStore(settings["platform_url"])
+        self.view = ConfigurationView()
+        self.configuration = ConfigurationSync(self.peers, self.store, self.view)
+        self.presence = Presence(self.peers)
+        self.executor = self._make_executor(identity)
+        self.fences: FenceKeeper | None = None
+        self.maps: MapKeeper | None = None
+        if self.upstream.kind is UpstreamKind.ENGINE:
+            self._make_maps(section.get("ranks", []))
+        self.monitoring = Monitoring(lambda: generate_latest(REGISTRY), self.missing)
+
+    def _make_executor(self, identity: ProcessIdentity) -> Executor:
+        payments = None
+        if self.upstream.kind is UpstreamKind.PLAIN:
+            payments = Payments(
+                self.store, identity, self.upstream.name, identity.start_id
+            )
+        return Executor(self.peers, self.upstream, payments=payments)
+
+    def _make_maps(self, ranks: list[int]) -> None:
+        group = self.upstream.name
+
+        async def other_agents() -> list[Address] | None:
+            return await ask_group_agents(self.peers, group)
+
+        lease = slot_of(map_role(group))
+        self.fences = FenceKeeper(self.peers, self.store, group, lease, other_agents)
+        client = HttpClient(self.upstream.url, n_connections=N_ENGINE_CONNECTIONS)
+        engine = HttpEngineControl(client)
+        self.maps = MapKeeper(self.peers, group, engine, self.fences, ranks)
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop, then end once nothing is cut off."""
+        async with trio.open_nursery() as nursery:
+            await self._start(nursery)
+            log.info(
+                "agent.started",
+                name=self._settings["name"],
+                upstream=self.upstream.name,
+            )
+            nursery.start_soon(
+                watch_signals, self._stop_requested, lambda: self.executor.n_attempts
+            )
+            await self._stop_requested.wait()
+            await self._close()
+            nursery.cancel_scope.cancel()
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        await self.executor.start(nursery)
+        if self.fences and self.maps and "ranks" in self._settings["upstream"]:
+            await self.fences.start(nursery)
+            await self.maps.start(nursery)
+        await self.peers.start(nursery)
+        await self.configuration.start(nursery)
+        await nursery.start(
+            serve_http,
+            asgi_application(self.monitoring.handle),
+            Address.parse(self._settings["metrics_listen"]),
+            tls_files(self._settings, "metrics_tls"),
+        )
+
+    async def _close(self) -> None:
+        """Leave in order: no new attempts, then none at all."""
+        self.presence.leave()
+        await self.executor.drain()
+        await self.peers.close()
+        await self.executor.close()
+
+    def missing(self) -> list[str]:
+        """Return what keeps the agent from taking work, in words."""
+        missing = []
+        if self.executor.state is not UpstreamState.LIVE:
+            missing.append(f"the agent is {self.executor.state}")
+        if not self.configuration.ready.is_set():
+            missing.append("no configuration is in force yet")
+        return missing
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -15,6 +15,7 @@
     map_role,
 )
 from ..coordination.expert_maps import GroupHost
+from ..coordination.group_agents import register_group_agents
 from ..coordination.group_set import GroupSet
 from ..coordination.membership import MemberState
 from ..operations import (
@@ -90,6 +91,7 @@
             self.peers, presence, self.hosts.hosts_now, seed=identity.start_id
         )
         self.membership.on_change.append(self._note_member_change)
+        register_group_agents(self.peers, self.hosts.hosts_now)
         self.roles = ControlRoles(
             self.store,
             self.writer,
--- a/poplarward/protocol/fences.py
+++ b/poplarward/protocol/fences.py
@@ -1,10 +1,11 @@
-"""Messages by which agents of a group tell each other their fencing numbers."""
+"""Messages by which agents of a group find each other and their fencing numbers."""
 
 from __future__ import annotations
 
+from ..transport import Address
 from .codec import message
 
-__all__ = ["FenceQuery", "FenceReply"]
+__all__ = ["FenceQuery", "FenceReply", "GroupAgentsQuery", "GroupAgentsReply"]
 
 
 @message(100)
@@ -19,3 +20,23 @@
     """The greatest number seen; ``fence`` is None if the agent has learnt none."""
 
     fence: int | None
+
+
+@message(110)
+class GroupAgentsQuery:
+    """Asks an entry host for the agents of a group."""
+
+    group: str
+
+
+@message(111)
+class GroupAgentsReply:
+    """The agents that the platform's list names, leaving ones included.
+
+    Attributes
+    ----------
+    agents : list
+        Names and peers' addresses; empty if none is known.
+    """
+
+    agents: list[tuple[str, Address]]
--- a/tests/coordination/expert_maps/harness.py
+++ b/tests/coordination/expert_maps/harness.py
@@ -178,8 +178,11 @@
         self._starts += 1
         identity = ProcessIdentity("agent", host.name, self._starts, host.address, "a")
         peers = Peers(self.network.host(host.address.host), identity, "s")
-        others = [h.address for h in self.hosts if h != host]
-        fences = FenceKeeper(peers, FenceStore(self), GROUP, "lease", lambda: others)
+
+        async def addresses():
+            return [h.address for h in self.hosts if h != host]
+
+        fences = FenceKeeper(peers, FenceStore(self), GROUP, "lease", addresses)
         engine = self.ranks.engines[index]
         keeper = MapKeeper(peers, GROUP, engine, fences, [index])
         self.keepers[index] = keeper
--- a/tests/coordination/test_fencing.py
+++ b/tests/coordination/test_fencing.py
@@ -49,8 +49,11 @@
         address = Address(host, 9000)
         identity = ProcessIdentity("agent", f"agent-{i}", i, address, "rennes")
         peers = Peers(self.network.host(host), identity, "s")
-        others = [Address(other, 9000) for other in self.hosts if other != host]
-        keeper = FenceKeeper(peers, self.store, "drafts", "slot-0", lambda: others)
+
+        async def addresses():
+            return [Address(other, 9000) for other in self.hosts if other != host]
+
+        keeper = FenceKeeper(peers, self.store, "drafts", "slot-0", addresses)
         await peers.start(nursery)
         await keeper.start(nursery)
         return keeper
