--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -18,7 +18,13 @@
 from ..telemetry import get_logger
 from ..transport import Address, HttpClient, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import AgentSettings, peers_network, tls_files
+from .settings import (
+    AgentSettings,
+    peers_network,
+    platform_access,
+    tls_files,
+    upstream_access,
+)
 from .startup import watch_signals
 
 __all__ = ["AgentHost"]
@@ -53,9 +59,12 @@
             section["name"],
             section["url"],
             section["n_slots"],
+            upstream_access(section),
         )
         self.peers = Peers(peers_network(settings), identity, settings["peer_secret"])
-        self.store = HttpObjectStore(settings["platform_url"])
+        self.store = HttpObjectStore(
+            settings["platform_url"], platform_access(settings)
+        )
         self.view = ConfigurationView()
         self.configuration = ConfigurationSync(self.peers, self.store, self.view)
         self.presence = Presence(self.peers)
@@ -82,7 +91,9 @@
 
         lease = slot_of(map_role(group))
         self.fences = FenceKeeper(self.peers, self.store, group, lease, other_agents)
-        client = HttpClient(self.upstream.url, n_connections=N_ENGINE_CONNECTIONS)
+        client = HttpClient(
+            self.upstream.url, N_ENGINE_CONNECTIONS, self.upstream.access
+        )
         engine = HttpEngineControl(client)
         self.maps = MapKeeper(self.peers, group, engine, self.fences, ranks)
 
