Take a host back once the platform lists it as live again

Cause: an entry host marks a host that the list calls leaving, and nothing undid the mark. The list lags, so a host that was restarted in place while it was still listed as leaving was marked again, and got no work until its next restart.

Ruled out: taking the mark from a restart of the process (a restart does not undo what the list says); leaving the mark out of what is spread (at the target size a list is read every few minutes by each entry host).

Change: the first entry host that reads live after leaving spreads the record with a greater incarnation; the process confirms it, or contradicts it if it stops by itself. A mark is repeated only after the list was read again, so that old readings don't bring it back.

test_restarted_process_is_taken_back_once_it_is_listed_live fails against the unchanged code, for an entry host and an agent.

--- a/poplarward/coordination/hosts.py
+++ b/poplarward/coordination/hosts.py
@@ -80,12 +80,15 @@
     ----------
     hosts : dict
         Hosts by name; kept as it was while the platform does not answer.
+    n_reads : int
+        How often the list was read.
     on_change : list of callable
         Called after each change of the list.
     """
 
     def __init__(self, base_url: str, access: HttpAccess | None = None):
         self.hosts: dict[str, HostEntry] = {}
+        self.n_reads = 0
         self.on_change: list[Callable[[], None]] = []
         self._client = HttpClient(base_url, n_connections=2, access=access)
         self._rng = random.Random()
@@ -124,6 +127,7 @@
         except (UpstreamUnreachable, ValidationError, ValueError, KeyError) as error:
             log.warning("hosts.unreadable", reason=str(error))
             return
+        self.n_reads += 1
         if hosts != self.hosts:
             self.hosts = hosts
             for callback in self.on_change:
--- a/poplarward/coordination/membership/membership.py
+++ b/poplarward/coordination/membership/membership.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -65,6 +66,8 @@
         This process's own record.
     listed_hosts : callable
         Returns the platform's list of hosts, lagging as it may.
+    n_list_reads : callable, optional
+        Returns how often that list was read; by default each call is a new read.
 
     Attributes
     ----------
@@ -79,6 +82,7 @@
         listed_hosts: Callable[[], Iterable[HostEntry]],
         timing: MembershipTiming | None = None,
         seed: int = 0,
+        n_list_reads: Callable[[], int] | None = None,
     ):
         self.on_change: list[Callable[[], None]] = []
         self._peers = peers
@@ -104,6 +108,8 @@
         self._answered_at = 0.0
         self._gone_at: dict[str, float] = {}
         self._hosts_read: dict[str, HostEntry] = {}
+        self._n_list_reads = n_list_reads or itertools.count().__next__
+        self._marked_leaving: dict[str, tuple[int, int]] = {}
         self._scope = trio.CancelScope()
         presence.table_digest = self._table.digest
 
@@ -186,16 +192,33 @@
     def _read_hosts(self) -> None:
         """Take over what only the platform's list says."""
         hosts = {host.name: host for host in self._listed_hosts()}
+        n_reads = self._n_list_reads()
         news = []
         for host in hosts.values():
             held = self._table.records.get(host.name)
             if held is None:
                 news.append(_record_of(host))
-            elif host.state == "leaving" and held.state in _MAY_LEAVE:
-                news.append(held._replace(state=MemberState.LEAVING))
+            elif host.state == "leaving":
+                news += self._mark_leaving(held, n_reads)
+            elif self._marked_leaving.pop(host.name, None) is not None:
+                news += _take_back(held)
         self._hosts_read = hosts
         self._spreader.publish(self._merge(news))
 
+    def _mark_leaving(self, held: MemberRecord, n_reads: int) -> list[MemberRecord]:
+        """Return the news that a listed host leaves.
+
+        It is told once for each start of the host and each reading of the list,
+        since an entry host that has read a newer one may take it back.
+        """
+        mark = (held.start_id, n_reads)
+        if self._marked_leaving.get(held.name) == mark:
+            return []
+        self._marked_leaving[held.name] = mark
+        if held.state not in _MAY_LEAVE:
+            return []
+        return [held._replace(state=MemberState.LEAVING)]
+
     def _forget_gone(self) -> None:
         """Drop processes that have been gone for long and are not listed."""
         limit = trio.current_time() - self._timing.forget_ms / 1000
@@ -292,3 +315,14 @@
         incarnation=0,
         state=MemberState(host.state),
     )
+
+
+def _take_back(held: MemberRecord) -> list[MemberRecord]:
+    """Return the news that a host is listed as live again.
+
+    A process that stops by itself contradicts it.
+    """
+    if held.state is not MemberState.LEAVING:
+        return []
+    incarnation = held.incarnation + 1
+    return [held._replace(incarnation=incarnation, state=MemberState.LIVE)]
--- a/poplarward/coordination/membership/presence.py
+++ b/poplarward/coordination/membership/presence.py
@@ -51,6 +51,7 @@
         self._callers_address = callers_address
         self._incarnation = int(now_ms())
         self._state = MemberState.LIVE
+        self._is_stopping = False
         peers.register(Probe, self._on_probe)
 
     def record(self) -> MemberRecord:
@@ -67,8 +68,14 @@
             self._state,
         )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this process stops, or others have told that its host leaves."""
+        return self._state is MemberState.LEAVING
+
     def leave(self) -> None:
         """Tell others from now on that this process is leaving."""
+        self._is_stopping = True
         self._state = MemberState.LEAVING
 
     def hear(self, incarnation: int, state: MemberState) -> None:
@@ -82,9 +89,12 @@
             case MemberState.SUSPECT | MemberState.GONE:
                 self._incarnation = incarnation + 1
             case MemberState.LIVE:
-                # The clock went back since an earlier start of this process.
+                # The platform lists the host as live again, or the clock went back
+                # since an earlier start of this process.
                 if incarnation > self._incarnation:
                     self._incarnation = incarnation + 1
+                    if not self._is_stopping:
+                        self._state = MemberState.LIVE
 
     def note_status(self, sender: ProcessIdentity, status: HeartbeatStatus) -> None:
         """Hand the status of a heartbeat to those who asked for it."""
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -89,7 +89,11 @@
         self.peers = Peers(peers_network(settings), identity, settings["peer_secret"])
         presence = Presence(self.peers, settings["callers_listen"])
         self.membership = Membership(
-            self.peers, presence, self.hosts.hosts_now, seed=identity.start_id
+            self.peers,
+            presence,
+            self.hosts.hosts_now,
+            seed=identity.start_id,
+            n_list_reads=lambda: self.hosts.n_reads,
         )
         self.membership.on_change.append(self._note_member_change)
         register_group_agents(self.peers, self.hosts.hosts_now)
--- a/tests/coordination/membership/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -122,6 +122,37 @@
         assert fleet.views_of("agent-rennes-0") == {LEAVING}
 
 
+@pytest.mark.parametrize("name", ["entry-rennes-0", "agent-rennes-0"])
+async def test_restarted_process_is_taken_back_once_it_is_listed_live(
+    autojump_clock, name
+):
+    """The list says that the host is leaving for a while after its restart."""
+    async with start_fleet() as fleet:
+        listed = fleet.listed[name]
+        fleet.listed[name] = listed._replace(state="leaving")
+        await fleet.wait_until(lambda: fleet.views_of(name) == {LEAVING}, 2)
+        fleet.hosts[name].scope.cancel()
+        await trio.sleep(0.5)
+        await fleet.add(name, listed.role, "rennes", n_start=7, listed=False)
+        await trio.sleep(4)
+        assert fleet.views_of(name) == {LEAVING}
+        fleet.listed[name] = listed
+        await fleet.wait_until(lambda: fleet.views_of(name) == {LIVE}, 3)
+        await trio.sleep(4)
+        assert fleet.views_of(name) == {LIVE}
+
+
+async def test_process_that_stops_by_itself_is_not_taken_back(autojump_clock):
+    async with start_fleet() as fleet:
+        listed = fleet.listed["agent-rennes-0"]
+        fleet.listed["agent-rennes-0"] = listed._replace(state="leaving")
+        await fleet.wait_until(lambda: fleet.views_of(listed.name) == {LEAVING}, 2)
+        fleet.hosts["agent-rennes-0"].presence.leave()
+        fleet.listed["agent-rennes-0"] = listed
+        await trio.sleep(6)
+        assert fleet.views_of(listed.name) == {LEAVING}
+
+
 async def test_new_process_is_known_before_the_list_has_it(autojump_clock):
     async with start_fleet() as fleet:
         await fleet.add("entry-brest-9", "entry", "brest", listed=False)
