Work out watches and subsets of agents in slices, from rankings that are kept

Ruled out: threads, since Python's lock would be held all the same.

Also: an entry host that is alone in its data centre no longer takes up one of the places of its own watchers; the test computes the watchers from the ranking. The tests of the subset held no more than its size and churn; they now compare kept and new choices while hosts change.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -31,9 +31,12 @@
 from poplarward.coordination.membership.table import MemberTable
 from poplarward.coordination.membership.view import MemberView
 from poplarward.protocol import Peers, ProcessIdentity
+from poplarward.slices import at_once
 from poplarward.telemetry import configure_logs
 from poplarward.transport import Address, LinkFaults, MemoryNetwork
 
+from .pauses import sliced_cost_ms
+
 SIZES = [8, 16, 32, 64]
 N_AGENTS_PER_ENTRY = 10
 N_ENTRIES_PER_DATA_CENTRE = 8
@@ -214,28 +217,27 @@
             for i in range(n)
         )
     view = MemberView(table, Reachability())
-    records = table.records.values()
+    records = list(table.records.values())
+    fewer = [record for record in records if record.name != f"entry-{n_centres + 1}"]
     assignment = WatchAssignment("entry-1")
+    costs = {
+        f"watched_{name}_ms": sliced_cost_ms(assignment.watched(found))
+        for name, found in (("first", records), ("one_left", fewer), ("same", fewer))
+    }
     return {
         "entries": n_entries,
         "agents": n_agents,
         "data_centres": n_centres,
-        "watched_new_entries_us": _time_us(
-            lambda: WatchAssignment("entry-1").watched(records)
-        ),
-        "watched_same_entries_us": _time_us(
-            lambda: assignment.watched(records), n_before=1
-        ),
+        **costs,
+        "watched_fields": ["whole", "longest slice"],
         "delegates_us": _time_us(lambda: delegates_of(records)),
         "view_us": _time_us(lambda: (view.clear(), view.not_live("agent"))),
         "digest_us": _time_us(table.digest),
-        "n_watched": len(assignment.watched(records)),
+        "n_watched": len(at_once(assignment.watched(records))),
     }
 
 
-def _time_us(work: Callable[[], Any], n_before: int = 0) -> int:
-    for _ in range(n_before):
-        work()
+def _time_us(work: Callable[[], Any]) -> int:
     started = time.process_time()
     for _ in range(5):
         work()
--- a/benchmarks/routing_subset.py
+++ b/benchmarks/routing_subset.py
@@ -14,6 +14,7 @@
   -h --help         Show this text.
 
 ``first_ms`` is the time of a first answer, ``change_ms`` of one after a host has left.
+The longest slices are how long the event loop serves nobody else meanwhile.
 """
 
 from __future__ import annotations
@@ -21,11 +22,17 @@
 import json
 import random
 import statistics
-import time
 
 from docopt import docopt
 
-from poplarward.requests.routing.subset import PoolMember, agents_to_connect
+from poplarward.requests.routing.subset import (
+    AgentSubset,
+    PoolMember,
+    agents_to_connect,
+)
+from poplarward.slices import at_once
+
+from .pauses import sliced_cost_ms
 
 __all__ = ["main"]
 
@@ -37,18 +44,16 @@
     entries = _members("entry", int(arguments["--entries"]), n_sites)
     agents = _members("agent", int(arguments["--hosts"]), n_sites)
     rng = random.Random(int(arguments["--seed"]))
-    began = time.perf_counter()
-    agents_to_connect(entries[0], entries, agents)
-    first_ms = 1000 * (time.perf_counter() - began)
+    first_ms = sliced_cost_ms(AgentSubset(entries[0]).choose(entries, [agents]))
     leaver = rng.choice(entries)
     others = [entry for entry in entries if entry != leaver]
     sample = rng.sample(others, min(len(others), int(arguments["--sample"])))
     sizes, n_moved, change_ms = [], 0, []
     for entry in sample:
-        before = set(agents_to_connect(entry, entries, agents))
-        began = time.perf_counter()
+        subset = AgentSubset(entry)
+        before = at_once(subset.choose(entries, [agents]))
+        change_ms.append(sliced_cost_ms(subset.choose(others, [agents])))
         after = set(agents_to_connect(entry, others, agents))
-        change_ms.append(1000 * (time.perf_counter() - began))
         sizes.append(len(before))
         n_moved += len(before ^ after)
     document = {
@@ -59,8 +64,10 @@
         "connections_mean": round(statistics.mean(sizes), 1),
         "connections_max": max(sizes),
         "moved_per_entry_host_that_left": round(n_moved / len(sample), 3),
-        "first_ms": round(first_ms, 1),
-        "change_ms": round(statistics.median(change_ms), 1),
+        "first_ms": first_ms[0],
+        "first_longest_slice_ms": first_ms[1],
+        "change_ms": round(statistics.median(cost[0] for cost in change_ms), 1),
+        "change_longest_slice_ms": max(cost[1] for cost in change_ms),
     }
     print(json.dumps(document, indent=1))
 
--- a/poplarward/coordination/membership/assignment.py
+++ b/poplarward/coordination/membership/assignment.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Collection, Iterable
 
-from ...hashing import rendezvous_ranking
+from ...hashing import KeptRankings, rendezvous_ranking
 from ...protocol.heartbeats import MemberRecord, MemberState
+from ...slices import Work
 
 __all__ = ["WatchAssignment", "delegates_of"]
 
@@ -27,41 +28,58 @@
 
     A process is watched by a few entry hosts of its own data centre, so that a data
     centre that is cut off goes on knowing its own processes. Agents of a data centre
-    without entry hosts are watched from the others. A decision holds until the entry
-    hosts change, so agents that come and go cost little.
+    without entry hosts are watched from the others. Rankings are kept, so that
+    processes that come and go cost little.
     """
 
     def __init__(self, watcher: str):
         self._watcher = watcher
-        self._entries: dict[str, list[str]] = {}
-        self._decisions: dict[tuple[str, str], bool] = {}
+        self._rankings = KeptRankings()
+        self._entries: dict[str, frozenset[str]] = {}
+        self._all_entries: frozenset[str] = frozenset()
 
-    def watched(self, records: Collection[MemberRecord]) -> set[str]:
+    def watched(self, records: Collection[MemberRecord]) -> Work[set[str]]:
         """Return the names of the processes to watch."""
-        entries = _entries_by_data_centre(records)
-        if entries != self._entries:
-            self._entries = entries
-            self._decisions.clear()
-        watched = set()
+        self._take_entries(records)
+        watched, ranked = set(), set()
         for record in records:
-            key = record.name, record.data_centre
-            if key not in self._decisions:
-                self._decisions[key] = self._decide(record)
-            if self._decisions[key]:
-                watched.add(record.name)
+            candidates = self._candidates(record)
+            n_before = self._rankings.n_weighed
+            if self._watcher in candidates and record.name != self._watcher:
+                ranked.add(record.name)
+                if self._is_first(record, candidates):
+                    watched.add(record.name)
+            yield 1 + self._rankings.n_weighed - n_before
+        self._rankings.keep(ranked)
         return watched
 
-    def _decide(self, record: MemberRecord) -> bool:
-        if record.name == self._watcher:
-            return False
-        near = self._entries.get(record.data_centre, [])
-        others = [name for name in near if name != record.name]
-        if not others:
-            others = [name for names in self._entries.values() for name in names]
-        if self._watcher not in others:
-            return False
+    def _take_entries(self, records: Iterable[MemberRecord]) -> None:
+        """Take over which entry hosts there are, keeping the sets that are equal."""
+        entries = {
+            data_centre: frozenset(names)
+            for data_centre, names in _entries_by_data_centre(records).items()
+        }
+        if entries == self._entries:
+            return
+        for data_centre, names in entries.items():
+            if names == self._entries.get(data_centre):
+                entries[data_centre] = self._entries[data_centre]
+        self._entries = entries
+        self._all_entries = frozenset().union(*entries.values())
+
+    def _candidates(self, record: MemberRecord) -> frozenset[str]:
+        """Return the entry hosts that may watch a process, itself perhaps included."""
+        near = self._entries.get(record.data_centre)
+        if not near or (len(near) == 1 and record.name in near):
+            return self._all_entries
+        return near
+
+    def _is_first(self, record: MemberRecord, candidates: frozenset[str]) -> bool:
         n = N_ENTRY_WATCHERS if record.role == "entry" else N_AGENT_WATCHERS
-        return self._watcher in rendezvous_ranking(record.name, others)[:n]
+        firsts = self._rankings.first(record.name, candidates, n + 1)
+        if record.name in firsts:
+            firsts.remove(record.name)
+        return self._watcher in firsts[:n]
 
 
 def delegates_of(records: Iterable[MemberRecord]) -> dict[str, list[str]]:
--- a/poplarward/coordination/membership/membership.py
+++ b/poplarward/coordination/membership/membership.py
@@ -17,6 +17,7 @@
 
 from ...protocol import Peers
 from ...protocol.heartbeats import MemberRecord, MemberState, ProbeReply
+from ...slices import in_slices
 from ...telemetry import get_logger
 from ...transport import Address
 from ..hosts import HostEntry
@@ -180,7 +181,7 @@
                     self._forget_gone()
                     if self._needs_assignment:
                         self._needs_assignment = False
-                        self._assign(nursery)
+                        await self._assign(nursery)
                     await trio.sleep(ASSIGN_INTERVAL_MS / 1000)
 
     def _read_hosts(self) -> None:
@@ -209,9 +210,10 @@
                 self._needs_assignment = True
                 self._changed()
 
-    def _assign(self, nursery: trio.Nursery) -> None:
+    async def _assign(self, nursery: trio.Nursery) -> None:
         """Begin and end watches as the entry hosts come and go."""
-        watched = self._assignment.watched(self._table.records.values())
+        records = list(self._table.records.values())
+        watched = await in_slices(self._assignment.watched(records))
         for gone in self._watches.keys() - watched:
             self._watches.pop(gone).cancel()
         for new in sorted(watched - self._watches.keys()):
--- a/poplarward/requests/routing/connections.py
+++ b/poplarward/requests/routing/connections.py
@@ -10,8 +10,9 @@
 from ...errors import PeerUnreachable
 from ...protocol import Connection, Peers
 from ...protocol.reports import ReportInterval
+from ...slices import in_slices
 from ...telemetry import get_logger
-from .subset import PoolMember, agents_to_connect
+from .subset import AgentSubset, PoolMember
 from .table import AgentTable
 
 __all__ = ["AgentConnections", "report_interval_ms"]
@@ -57,6 +58,8 @@
         self._peers = peers
         self._table = table
         self._hosts = hosts
+        identity = peers.identity
+        self._subset = AgentSubset(PoolMember(identity.name, identity.data_centre))
         self._listed: list[HostEntry] = []
         self._wanted: list[HostEntry] = []
         self._asked: dict[Connection, int] = {}
@@ -64,7 +67,7 @@
     async def run(self) -> None:
         """Keep the connections until cancelled."""
         while True:
-            self._refresh()
+            await self._refresh()
             interval_ms = report_interval_ms(len(self._wanted))
             async with trio.open_nursery() as nursery:
                 for host in self._wanted:
@@ -74,12 +77,11 @@
             await self._close_unwanted()
             await trio.sleep(CHECK_INTERVAL_S)
 
-    def _refresh(self) -> None:
+    async def _refresh(self) -> None:
         """Work out the subset again if the list of hosts has changed."""
-        listed = sorted(self._hosts())
+        listed = list(self._hosts())
         if listed == self._listed:
             return
-        self._listed = listed
         identity = self._peers.identity
         own = PoolMember(identity.name, identity.data_centre)
         entries = {own} | {_member(h) for h in listed if _is_serving(h, "entry")}
@@ -87,12 +89,10 @@
         pools: dict[str, list[PoolMember]] = {}
         for host in agents:
             pools.setdefault(host.upstream, []).append(_member(host))
-        names = {
-            name
-            for pool in pools.values()
-            for name in agents_to_connect(own, sorted(entries), pool)
-        }
-        self._wanted = [host for host in agents if host.name in names]
+        await trio.lowlevel.checkpoint()
+        names = await in_slices(self._subset.choose(entries, pools.values()))
+        self._wanted = sorted(host for host in agents if host.name in names)
+        self._listed = listed
 
     async def _connect(self, host: HostEntry, interval_ms: int) -> None:
         try:
--- a/poplarward/requests/routing/subset.py
+++ b/poplarward/requests/routing/subset.py
@@ -11,19 +11,19 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from functools import lru_cache
 from typing import NamedTuple
 
-from ...hashing import rendezvous_ranking
+from ...hashing import KeptRankings
+from ...slices import Work, at_once
 
-__all__ = ["PoolMember", "agents_to_connect"]
+__all__ = ["AgentSubset", "PoolMember", "agents_to_connect"]
 
 MAX_WHOLE_POOL = 64
 N_NEAR_AGENTS = 24
 N_FAR_AGENTS = 8
 ENTRIES_PER_LOT = 32
-MAX_REMEMBERED_LOTS = 20_000
 
 
 class PoolMember(NamedTuple):
@@ -39,6 +39,87 @@
     data_centre: str
 
 
+class AgentSubset:
+    """The agents that one entry host connects to.
+
+    Rankings are kept, so that hosts that come and go cost little.
+
+    Parameters
+    ----------
+    entry : PoolMember
+        The entry host.
+    """
+
+    def __init__(self, entry: PoolMember):
+        self._entry = entry
+        self._rankings = KeptRankings()
+        self._far_lots = KeptRankings()
+        self._own_site: frozenset[str] = frozenset()
+
+    def choose(
+        self, entries: Collection[PoolMember], pools: Iterable[Sequence[PoolMember]]
+    ) -> Work[set[str]]:
+        """Return the names of the agents to connect to.
+
+        Parameters
+        ----------
+        entries : collection of PoolMember
+            Entry hosts that are not leaving; the entry host is one of them.
+        pools : iterable of sequence of PoolMember
+            Agents of each model or plain service.
+        """
+        sites = _names_by_data_centre(entries)
+        own_site = frozenset(sites[self._entry.data_centre])
+        if own_site != self._own_site:
+            self._own_site = own_site
+        chosen: set[str] = set()
+        ranked: set[str] = set()
+        for agents in pools:
+            if len(agents) <= MAX_WHOLE_POOL:
+                chosen.update(agent.name for agent in agents)
+                yield len(agents)
+            else:
+                ranked.update(agent.name for agent in agents)
+                yield len(agents)
+                yield from self._choose_of(agents, sites, len(entries), chosen)
+        self._rankings.keep(ranked)
+        self._far_lots.keep(ranked)
+        return chosen
+
+    def _choose_of(
+        self,
+        agents: Sequence[PoolMember],
+        sites: Mapping[str, Sequence[str]],
+        n_entries: int,
+        chosen: set[str],
+    ) -> Work[None]:
+        """Add the agents of one large pool to those chosen."""
+        own = self._entry.data_centre
+        n_near_agents = sum(agent.data_centre == own for agent in agents)
+        n_near = math.ceil(N_NEAR_AGENTS * len(self._own_site) / max(1, n_near_agents))
+        n_far = math.ceil(N_FAR_AGENTS * n_entries / len(agents))
+        lots = _far_lots(sites, {agent.data_centre for agent in agents})
+        for agent in agents:
+            n_before = self._rankings.n_weighed + self._far_lots.n_weighed
+            is_near = agent.data_centre == own
+            if is_near or self._is_far_choice(agent, lots[agent.data_centre]):
+                n = n_near if is_near else n_far
+                takers = self._rankings.first(agent.name, self._own_site, n)
+                if self._entry.name in takers:
+                    chosen.add(agent.name)
+            n_weighed = self._rankings.n_weighed + self._far_lots.n_weighed - n_before
+            yield 1 + n_weighed
+
+    def _is_far_choice(self, agent: PoolMember, lots: frozenset[str]) -> bool:
+        """Tell whether an agent elsewhere draws the entry host's data centre.
+
+        Each agent draws one other data centre, so that the work grows with data
+        centres and not with all entry hosts.
+        """
+        drawn = self._far_lots.first(agent.name, lots, 1)
+        return bool(drawn) and drawn[0].startswith(f"{self._entry.data_centre}\0")
+
+
 def agents_to_connect(
     entry: PoolMember, entries: Sequence[PoolMember], agents: Sequence[PoolMember]
 ) -> list[str]:
@@ -59,56 +140,37 @@
     >>> agents_to_connect(entries[0], entries, [PoolMember("agent-1", "brest")])
     ['agent-1']
     """
-    if len(agents) <= MAX_WHOLE_POOL:
-        return [agent.name for agent in agents]
-    sites = _names_by_data_centre(entries)
-    near = [agent.name for agent in agents if agent.data_centre == entry.data_centre]
-    own_site = sites[entry.data_centre]
-    n_near = math.ceil(N_NEAR_AGENTS * len(own_site) / max(1, len(near)))
-    n_far = math.ceil(N_FAR_AGENTS * len(entries) / len(agents))
-    far = _far_agents(entry, sites, agents)
-    takers = [(name, n_near) for name in near] + [(name, n_far) for name in far]
-    return [
-        name
-        for name, n_takers in takers
-        if entry.name in rendezvous_ranking(name, own_site)[:n_takers]
-    ]
-
-
-def _far_agents(
-    entry: PoolMember, sites: Mapping[str, Sequence[str]], agents: Sequence[PoolMember]
-) -> list[str]:
-    """Return the agents elsewhere that some entry host of this data centre takes.
+    names = at_once(AgentSubset(entry).choose(entries, [agents]))
+    return [agent.name for agent in agents if agent.name in names]
+
+
+def _far_lots(
+    sites: Mapping[str, Sequence[str]], agent_sites: Set[str]
+) -> dict[str, frozenset[str]]:
+    """Return the lots among which the agents of each data centre draw one.
 
-    Each agent draws one other data centre, so that the work grows with data centres
-    and not with all entry hosts. A data centre is weighed by its entry hosts, so that
-    none gets too many.
+    A data centre is weighed by its entry hosts, so that none gets too many. Lots
+    change with their number alone, not with each entry host.
     """
-    lots = {
-        agent_site: tuple(
-            f"{site}\0{lot}"
-            for site, names in sites.items()
-            for lot in range(len(names) // ENTRIES_PER_LOT + 1)
-            if site != agent_site
+    return {
+        agent_site: _lots(
+            tuple(
+                (site, len(names) // ENTRIES_PER_LOT + 1)
+                for site, names in sorted(sites.items())
+                if site != agent_site
+            )
         )
-        for agent_site in {agent.data_centre for agent in agents}
+        for agent_site in agent_sites
     }
-    prefix = f"{entry.data_centre}\0"
-    return [
-        agent.name
-        for agent in agents
-        if agent.data_centre != entry.data_centre
-        and _first_lot(agent.name, lots[agent.data_centre]).startswith(prefix)
-    ]
 
 
-# An agent's lot changes with the number of lots alone, not with each entry host.
-@lru_cache(maxsize=MAX_REMEMBERED_LOTS)
-def _first_lot(agent: str, lots: tuple[str, ...]) -> str:
-    return rendezvous_ranking(agent, lots)[0]
+# Equal lots must be the same set, so that rankings are kept.
+@lru_cache(maxsize=256)
+def _lots(n_by_site: tuple[tuple[str, int], ...]) -> frozenset[str]:
+    return frozenset(f"{site}\0{lot}" for site, n in n_by_site for lot in range(n))
 
 
-def _names_by_data_centre(members: Sequence[PoolMember]) -> dict[str, list[str]]:
+def _names_by_data_centre(members: Iterable[PoolMember]) -> dict[str, list[str]]:
     names: dict[str, list[str]] = {}
     for member in members:
         names.setdefault(member.data_centre, []).append(member.name)
--- a/tests/coordination/membership/test_assignment.py
+++ b/tests/coordination/membership/test_assignment.py
@@ -7,6 +7,8 @@
 
 from poplarward.coordination.membership import MemberRecord, MemberState
 from poplarward.coordination.membership.assignment import WatchAssignment
+from poplarward.hashing import rendezvous_ranking
+from poplarward.slices import at_once, in_slices
 from poplarward.transport import Address
 
 ADDRESS = Address("10.0.0.1", 9000)
@@ -22,16 +24,47 @@
     ]
 
 
+def watched_by(watcher, records):
+    return at_once(WatchAssignment(watcher).watched(records))
+
+
+def is_watched(watcher, record, records):
+    """Tell from the ranking of all candidates whether a host watches a process."""
+    entries = [r for r in records if r.role == "entry"]
+    near = [
+        r.name
+        for r in entries
+        if r.data_centre == record.data_centre and r.name != record.name
+    ]
+    candidates = near or [r.name for r in entries if r.name != record.name]
+    n = 3 if record.role == "entry" else 2
+    return watcher in rendezvous_ranking(record.name, candidates)[:n]
+
+
 @given(st.lists(names, max_size=4))
 def test_kept_decisions_are_right(fleets):
     kept = WatchAssignment("entry-0")
     for fleet in fleets:
         records = records_of(fleet | {("entry", 0)})
-        assert kept.watched(records) == WatchAssignment("entry-0").watched(records)
+        watched = at_once(kept.watched(records))
+        assert watched == watched_by("entry-0", records)
+        assert watched == {
+            record.name
+            for record in records
+            if record.name != "entry-0" and is_watched("entry-0", record, records)
+        }
 
 
 def test_everyone_is_watched_by_a_few():
     records = records_of({(role, i) for role in ("entry", "agent") for i in range(9)})
-    watched = [WatchAssignment(f"entry-{i}").watched(records) for i in range(9)]
+    watched = [watched_by(f"entry-{i}", records) for i in range(9)]
     counts = {r.name: sum(r.name in names for names in watched) for r in records}
     assert all(counts[f"entry-{i}"] == counts[f"agent-{i}"] == 2 for i in range(9))
+
+
+async def test_slices_give_what_whole_work_does():
+    fleet = {("entry", i) for i in range(60)} | {("agent", i) for i in range(600)}
+    kept = WatchAssignment("entry-0")
+    for records in records_of(fleet), records_of(fleet - {("entry", 3)}):
+        watched = await in_slices(kept.watched(records))
+        assert watched == watched_by("entry-0", records)
--- /dev/null
+++ b/tests/requests/routing/test_subset.py
@@ -0,0 +1,86 @@
+"""The subset that is kept is the one that would be chosen anew."""
+
+from __future__ import annotations
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from poplarward.coordination.hosts import HostEntry
+from poplarward.protocol import Peers, ProcessIdentity
+from poplarward.requests.routing import AgentConnections, AgentTable
+from poplarward.requests.routing.subset import (
+    AgentSubset,
+    PoolMember,
+    agents_to_connect,
+)
+from poplarward.slices import at_once, in_slices
+from poplarward.transport import Address, MemoryNetwork
+
+OWN = PoolMember("entry-0", "site-0")
+
+
+def members(role, numbers, n_sites=3):
+    return [PoolMember(f"{role}-{i}", f"site-{i % n_sites}") for i in sorted(numbers)]
+
+
+@settings(max_examples=20)
+@given(
+    st.lists(
+        st.tuples(st.sets(st.integers(1, 40)), st.sets(st.integers(0, 90), min_size=70))
+    )
+)
+def test_kept_subset_is_right(fleets):
+    kept = AgentSubset(OWN)
+    for entry_numbers, agent_numbers in fleets:
+        entries = members("entry", entry_numbers | {0})
+        agents = members("agent", agent_numbers)
+        assert at_once(kept.choose(entries, [agents])) == set(
+            agents_to_connect(OWN, entries, agents)
+        )
+
+
+async def test_slices_choose_what_whole_work_does():
+    entries, agents = members("entry", range(120)), members("agent", range(900))
+    chosen = await in_slices(AgentSubset(OWN).choose(entries, [agents]))
+    assert chosen == set(agents_to_connect(OWN, entries, agents))
+
+
+async def test_hosts_that_change_meanwhile_are_taken_over(nursery, autojump_clock):
+    network = MemoryNetwork(seed=1)
+    identity = ProcessIdentity("entry", *OWN[:1], 1, Address("10.0.0.1", 1), OWN[1])
+    peers = Peers(network.host("10.0.0.1"), identity, "s")
+    await peers.start(nursery)
+    n_turns = 0
+
+    def hosts():
+        """Return one agent fewer from the third turn of the event loop on."""
+        n_agents = 300 if n_turns < 3 else 299
+        entries, agents = members("entry", range(90)), members("agent", range(n_agents))
+        return [_listed("entry", m) for m in entries] + [
+            _listed("agent", m) for m in agents
+        ]
+
+    async def count_turns():
+        nonlocal n_turns
+        while n_turns < 3:
+            n_turns += 1
+            await trio.lowlevel.checkpoint()
+
+    connections = AgentConnections(peers, AgentTable(peers), hosts)
+    nursery.start_soon(count_turns)
+    nursery.start_soon(connections.run)
+    await trio.sleep(8)
+    wanted = {host.name for host in connections._wanted}
+    entries, agents = members("entry", range(90)), members("agent", range(299))
+    assert wanted == set(agents_to_connect(OWN, entries, agents))
+    nursery.cancel_scope.cancel()
+
+
+def _listed(role, member):
+    number = int(member.name.partition("-")[2])
+    address = f"10.1.{number // 250}.{number % 250}:1"
+    upstream = "model" if role == "agent" else ""
+    return HostEntry(
+        member.name, role, member.data_centre, "live", address, "", upstream
+    )
--- /dev/null
+++ b/tests/test_slices.py
@@ -0,0 +1,39 @@
+"""Long work gives way to other tasks."""
+
+from __future__ import annotations
+
+import trio
+
+from poplarward.slices import UNITS_PER_SLICE, at_once, in_slices
+
+
+def count(n_steps, n_units):
+    for _ in range(n_steps):
+        yield n_units
+    return n_steps
+
+
+async def test_work_gives_way_after_each_slice(nursery):
+    n_turns = 0
+
+    async def take_turns():
+        nonlocal n_turns
+        while True:
+            n_turns += 1
+            await trio.lowlevel.checkpoint()
+
+    nursery.start_soon(take_turns)
+    assert await in_slices(count(10, UNITS_PER_SLICE)) == 10
+    assert n_turns >= 10
+    nursery.cancel_scope.cancel()
+
+
+async def test_short_work_runs_in_one_piece(nursery):
+    with trio.CancelScope() as scope:
+        scope.cancel()
+        assert await in_slices(count(10, UNITS_PER_SLICE // 20)) == 10
+    assert not scope.cancelled_caught
+
+
+def test_result_is_the_same_at_once():
+    assert at_once(count(7, UNITS_PER_SLICE)) == 7
