Test that an agent keeps its engine within its memory

Four drafts of 30 prompt tokens before an engine of 100 tokens: two run at once. With the limit not handed on to the slots the test fails with four at once.

--- a/tests/requests/test_kv_admission.py
+++ b/tests/requests/test_kv_admission.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import json
+
 import pytest
 import trio
 from hypothesis import given
@@ -8,10 +10,12 @@
 from benchmarks.kv_admission import Setup, run_way
 from benchmarks.kv_model import arrivals
 from benchmarks.kv_ways import WAYS, Measured
+from benchmarks.memory_path import Caller, MemoryPath, MemoryUpstream, draft
 from poplarward.errors import Refused
 from poplarward.protocol.requests import PriorityClass
 from poplarward.requests.kv_admission import HEADROOM_SHARE, KvMemory
 from poplarward.requests.slots import Demand, FairSlots
+from poplarward.standins.engine import EngineStandin, EngineTiming, completion_words
 
 
 def demand(n_prompt, workspace="a", urgent=False, deadline_ms=1e6, n_tokens=10):
@@ -138,3 +142,35 @@
     assert ours["kv_use"] > peak["kv_use"]
     # By peak the long ones wait too long, so a count of answers would favour it.
     assert ours["whole_tokens_per_s"] > peak["whole_tokens_per_s"]
+
+
+async def test_agent_keeps_an_engine_within_its_memory(nursery, autojump_clock):
+    path = MemoryPath(nursery)
+    engine = EngineStandin(EngineTiming(50.0, 8))
+    nursery.start_soon(engine.run)
+    client = MemoryUpstream(nursery, engine.handle)
+    await path.start_agent(
+        "agent-1", "10.2.0.1", "engine", "drafts", client, 8, kv_limit_tokens=100
+    )
+    entry = await path.start_entry()
+    callers = [Caller() for _ in range(4)]
+    request = draft()._replace(n_prompt_tokens=30, n_tokens=50)
+    most = 0
+    for caller in callers:
+        nursery.start_soon(entry.run, request, caller)
+    for _ in range(100):
+        await trio.sleep(0.05)
+        most = max(most, engine.n_running)
+    # Two prompts leave the headroom free; a third one would not.
+    assert most == 2
+    assert all(
+        words(caller) == completion_words("A grey cat.", 20) for caller in callers
+    )
+    # A slot count alone would have run all four at once.
+    assert engine.n_running == 0
+
+
+def words(caller):
+    events = caller.body.decode().split("\n\n")
+    documents = [json.loads(e[6:]) for e in events if e.startswith("data: {")]
+    return [document["choices"][0]["text"] for document in documents]
