Four homes for a prefix, left sooner for others

Cause: with two homes a prefix met the same two ranks, so the work of a second was less even than power of two's where reports are fresh. Change: four homes, taken while at most the mean plus half a request (two, plus one).

--- a/poplarward/requests/routing/affinity.py
+++ b/poplarward/requests/routing/affinity.py
@@ -16,7 +16,7 @@
 
 __all__ = ["N_HOMES", "prefix_digest", "prefix_homes"]
 
-N_HOMES = 2
+N_HOMES = 4
 PREFIX_CHARACTERS = 512
 
 
--- a/poplarward/requests/routing/choice.py
+++ b/poplarward/requests/routing/choice.py
@@ -22,7 +22,7 @@
 
 __all__ = ["Candidate", "choose_candidate", "fill_level"]
 
-HOME_SLACK_REQUESTS = 1.0
+HOME_SLACK_REQUESTS = 0.5
 
 
 class Candidate(NamedTuple):
