Let rank groups take whole prefills in turns; homes only up to the mean

The mean of a step falls more than its fullest rank. Change: half of a pool's rank groups have their turn for 200 ms at a time, by the clock and the list of hosts (label rank_group), without a message. Requests without a free home go to groups in their turn, those with one prefer a home in its turn. Homes are taken up to the mean, since the turns made the work of a second less even.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -26,6 +26,7 @@
 
 from docopt import docopt
 
+from poplarward.coordination.hosts import HostEntry
 from poplarward.protocol import encode
 from poplarward.requests.routing.connections import report_interval_ms
 from poplarward.requests.routing.subset import PoolMember, agents_to_connect
@@ -71,8 +72,9 @@
         for first in range(0, len(hosts), N_RANKS_PER_GROUP):
             group = hosts[first : first + N_RANKS_PER_GROUP]
             EngineGroup(self.loop, group, self.measures)
+        entries = _list_hosts(names)
         self.entries = [
-            policy(subset, 1000 * setup.seed + index)
+            policy(subset, 1000 * setup.seed + index, entries)
             for index, subset in enumerate(subsets)
         ]
         self._rng = random.Random(setup.seed)
@@ -105,6 +107,20 @@
         )
 
 
+def _list_hosts(names: Sequence[str]) -> list[HostEntry]:
+    return [
+        HostEntry(
+            name,
+            "agent",
+            "site",
+            "live",
+            "10.0.0.1:9000",
+            rank_group=f"group-{index // N_RANKS_PER_GROUP}",
+        )
+        for index, name in enumerate(names)
+    ]
+
+
 def run_policy(
     setup: Setup, policy: type[Policy], requests: Sequence[Arrival]
 ) -> dict[str, Any]:
--- a/benchmarks/routing_policies.py
+++ b/benchmarks/routing_policies.py
@@ -10,20 +10,33 @@
 import time
 from collections.abc import Sequence
 
+from poplarward.coordination.hosts import HostEntry
 from poplarward.protocol.reports import AgentReport
 from poplarward.requests.routing.affinity import prefix_homes
 from poplarward.requests.routing.choice import Candidate, choose_candidate
 from poplarward.requests.routing.load import AgentLoad, arriving_requests
+from poplarward.requests.routing.turns import PrefillTurns
 
 from .routing_model import Arrival
 
 __all__ = ["POLICIES", "Policy"]
 
+CLOCK_ERROR_MS = 20.0
 
-class Policy:
-    """Chooses at random; the other policies derive from it."""
 
-    def __init__(self, agents: Sequence[str], seed: int):
+class Policy:
+    """Chooses at random; the other policies derive from it.
+
+    Parameters
+    ----------
+    agents : sequence of str
+        Agents that the entry host is connected to.
+    seed : int
+    hosts : sequence of HostEntry
+        All agents as the platform lists them.
+    """
+
+    def __init__(self, agents: Sequence[str], seed: int, hosts: Sequence[HostEntry]):
         self.agents = list(agents)
         self.rng = random.Random(seed)
         self.requests: dict[str, int] = dict.fromkeys(agents, 0)
@@ -47,8 +60,8 @@
 class RoundRobin(Policy):
     """Takes the agents in turn, from a random first one."""
 
-    def __init__(self, agents: Sequence[str], seed: int):
-        super().__init__(agents, seed)
+    def __init__(self, agents: Sequence[str], seed: int, hosts: Sequence[HostEntry]):
+        super().__init__(agents, seed, hosts)
         self._next = self.rng.randrange(len(self.agents))
 
     def choose(self, arrival: Arrival, now_ms: float) -> str:
@@ -77,19 +90,25 @@
 class Ours(Policy):
     """What an entry host does."""
 
-    def __init__(self, agents: Sequence[str], seed: int):
-        super().__init__(agents, seed)
+    def __init__(self, agents: Sequence[str], seed: int, hosts: Sequence[HostEntry]):
+        super().__init__(agents, seed, hosts)
         self.loads = {agent: AgentLoad() for agent in agents}
+        self.now_ms = 0.0
+        error_ms = random.Random(seed).uniform(-CLOCK_ERROR_MS, CLOCK_ERROR_MS)
+        self.turns = PrefillTurns(lambda: (self.now_ms + error_ms) / 1000)
+        self.turns.take_hosts(hosts)
 
     def choose(self, arrival: Arrival, now_ms: float) -> str:
         """Return the agent that the entry host would choose."""
         began = time.perf_counter()
+        self.now_ms = now_ms
         candidates = [
             Candidate(agent, load.occupancy) for agent, load in self.loads.items()
         ]
         homes = prefix_homes(str(arrival.prefix), self.agents)
         arriving = arriving_requests(list(self.loads.values()))
-        chosen = choose_candidate(candidates, homes, arriving, self.rng)
+        in_turn = self.turns.in_turn(self.agents)
+        chosen = choose_candidate(candidates, homes, arriving, self.rng, in_turn)
         self.choice_s += time.perf_counter() - began
         assert chosen is not None
         return chosen.name
--- a/poplarward/coordination/hosts.py
+++ b/poplarward/coordination/hosts.py
@@ -54,6 +54,8 @@
         Where an entry host takes callers' requests.
     upstream : str, optional
         Model group or plain service that an agent belongs to.
+    rank_group : str, optional
+        Group of ranks that an engine's host steps with; names are of one upstream.
     """
 
     name: str
@@ -63,6 +65,7 @@
     peers_address: str
     callers_address: str = ""
     upstream: str = ""
+    rank_group: str = ""
 
     @property
     def peers(self) -> Address:
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -31,6 +31,7 @@
     AgentTable,
     AttemptLoop,
     Gateway,
+    PrefillTurns,
     Relay,
     Router,
     WorkspaceLimits,
@@ -120,11 +121,14 @@
 
     def _make_requests(self) -> None:
         agents = AgentTable(self.peers)
+        turns = PrefillTurns()
+        self.hosts.on_change.append(lambda: turns.take_hosts(self.hosts.hosts_now()))
         router = Router(
             agents,
             leaving=self._agents_to_avoid,
             data_centre=self._settings["data_centre"],
             far_cost_requests=self._settings.get("far_cost_requests", 0.0),
+            turns=turns,
         )
         self.connections = AgentConnections(
             self.peers, agents, lambda: self.hosts.hosts.values()
--- a/poplarward/requests/routing/__init__.py
+++ b/poplarward/requests/routing/__init__.py
@@ -7,5 +7,6 @@
 from .connections import AgentConnections
 from .router import Router
 from .table import AgentTable, AgentView
+from .turns import PrefillTurns
 
-__all__ = ["AgentConnections", "AgentTable", "AgentView", "Router"]
+__all__ = ["AgentConnections", "AgentTable", "AgentView", "PrefillTurns", "Router"]
--- a/poplarward/requests/routing/choice.py
+++ b/poplarward/requests/routing/choice.py
@@ -1,8 +1,9 @@
 """Chooses one upstream among candidates whose load is known late.
 
-An upstream that is likely to hold the prompt's prefix is taken while it is not much
-busier than the mean: all ranks of a group wait for the longest prefill, so a cache
-hit shortens everyone's step, while a request more than the mean costs little.
+An upstream that is likely to hold the prompt's prefix is taken while it is no busier
+than the mean: all ranks of a group wait for the longest prefill, so a cache hit
+shortens everyone's step. Whole prefills go to the rank groups that have their turn,
+unless these are too busy.
 
 Otherwise every entry host sees reports of about the same age. If each sent its
 requests to the upstream that was least loaded then, all would choose the same one
@@ -22,7 +23,8 @@
 
 __all__ = ["Candidate", "choose_candidate", "fill_level"]
 
-HOME_SLACK_REQUESTS = 0.5
+TURN_SLACK_REQUESTS = 4.0
+ROUNDING_REQUESTS = 1e-9
 
 
 class Candidate(NamedTuple):
@@ -65,6 +67,7 @@
     homes: Collection[str],
     arriving: float,
     rng: random.Random,
+    in_turn: Collection[str] = (),
 ) -> Candidate | None:
     """Return a candidate, or None without any.
 
@@ -76,14 +79,21 @@
     arriving : float
         Requests that all entry hosts sent to the candidates since their reports.
     rng : random.Random
+    in_turn : collection of str
+        Names of those whose rank group has its turn for prefills; empty without turns.
     """
     if not candidates:
         return None
     mean = sum(candidate.load for candidate in candidates) / len(candidates)
-    bound = mean + HOME_SLACK_REQUESTS
+    bound = mean + ROUNDING_REQUESTS
     at_home = [c for c in candidates if c.name in homes and c.load <= bound]
     if at_home:
-        return min(at_home, key=lambda candidate: candidate.load)
+        near = [candidate for candidate in at_home if candidate.name in in_turn]
+        return min(near or at_home, key=lambda candidate: candidate.load)
+    turn = [candidate for candidate in candidates if candidate.name in in_turn]
+    if turn and sum(c.load for c in turn) / len(turn) <= mean + TURN_SLACK_REQUESTS:
+        arriving *= len(turn) / len(candidates)
+        candidates = turn
     level = fill_level([candidate.load for candidate in candidates], arriving)
     gaps = [max(0.0, level - candidate.load) for candidate in candidates]
     if sum(gaps) > 0.0:
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -14,6 +14,7 @@
 from .choice import Candidate, choose_candidate
 from .load import arriving_requests
 from .table import AgentTable, AgentView
+from .turns import PrefillTurns
 
 __all__ = ["Router"]
 
@@ -37,6 +38,8 @@
         Data centre of the entry host.
     far_cost_requests : float
         By how many requests an agent of another data centre counts as busier.
+    turns : PrefillTurns, optional
+        Which rank groups have their turn for prefills.
     """
 
     def __init__(
@@ -46,12 +49,14 @@
         leaving: Callable[[], Collection[str]] = _none,
         data_centre: str = "",
         far_cost_requests: float = 0.0,
+        turns: PrefillTurns | None = None,
     ):
         self._agents = agents
         self._rng = random.Random(seed)
         self._leaving = leaving
         self._data_centre = data_centre
         self._far_cost_requests = far_cost_requests
+        self._turns = turns or PrefillTurns()
 
     def choose(
         self, request: CallerRequest, excluded: frozenset[str] = frozenset()
@@ -67,7 +72,8 @@
         ]
         arriving = arriving_requests([view.load for view in views.values()])
         homes = prefix_homes(request.prefix_digest, views)
-        chosen = choose_candidate(candidates, homes, arriving, self._rng)
+        in_turn = self._turns.in_turn(views)
+        chosen = choose_candidate(candidates, homes, arriving, self._rng, in_turn)
         return None if chosen is None else views[chosen.name]
 
     def live_agents(
--- a/tests/requests/routing/test_choice.py
+++ b/tests/requests/routing/test_choice.py
@@ -86,6 +86,8 @@
         loads[chosen.name] += 1
     assert max(loads.values()) <= 800 / 8 + 3
     assert choose_candidate([Candidate("a", 5.0)], ("a",), 0.0, rng).name == "a"
+    even = [Candidate(name, 0.1) for name in "abcdefghij"]
+    assert choose_candidate(even, ("g",), 0.0, rng).name == "g"
     assert choose_candidate([], ("a",), 0.0, rng) is None
 
 
