Export PrefillTurns where the entry host imports it

Cause: the last change left the entry host's import unresolved; tests of the routing package alone did not load the programs. tests/programs/test_settings.py failed with the ImportError and passes now.

--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -12,7 +12,13 @@
 from .gateway import Gateway
 from .limits import WorkspaceLimits
 from .relay import Relay
-from .routing import AgentConnections, AgentTable, AgentView, Router
+from .routing import (
+    AgentConnections,
+    AgentTable,
+    AgentView,
+    PrefillTurns,
+    Router,
+)
 from .upstream import UpstreamSettings
 
 __all__ = [
@@ -23,6 +29,7 @@
     "AttemptLoop",
     "Executor",
     "Gateway",
+    "PrefillTurns",
     "Relay",
     "Router",
     "UpstreamSettings",
