Send urgent prompts to the rank groups without a turn

Change: urgent prompts without a free home prefer the groups that have no turn. Homes are taken up to the mean plus a tenth of a request, which also bears the rounding of a mean of equal loads; a test of that failed on the bare mean.

--- a/benchmarks/routing_policies.py
+++ b/benchmarks/routing_policies.py
@@ -12,6 +12,7 @@
 
 from poplarward.coordination.hosts import HostEntry
 from poplarward.protocol.reports import AgentReport
+from poplarward.protocol.requests import PriorityClass
 from poplarward.requests.routing.affinity import prefix_homes
 from poplarward.requests.routing.choice import Candidate, choose_candidate
 from poplarward.requests.routing.load import AgentLoad, arriving_requests
@@ -107,8 +108,9 @@
         ]
         homes = prefix_homes(str(arrival.prefix), self.agents)
         arriving = arriving_requests(list(self.loads.values()))
-        in_turn = self.turns.in_turn(self.agents)
-        chosen = choose_candidate(candidates, homes, arriving, self.rng, in_turn)
+        kind = PriorityClass.URGENT if arrival.urgent else PriorityClass.DRAFTING
+        preferred = self.turns.preferred(self.agents, kind)
+        chosen = choose_candidate(candidates, homes, arriving, self.rng, preferred)
         self.choice_s += time.perf_counter() - began
         assert chosen is not None
         return chosen.name
--- a/poplarward/requests/routing/choice.py
+++ b/poplarward/requests/routing/choice.py
@@ -1,8 +1,8 @@
 """Chooses one upstream among candidates whose load is known late.
 
-An upstream that is likely to hold the prompt's prefix is taken while it is no busier
-than the mean: all ranks of a group wait for the longest prefill, so a cache hit
-shortens everyone's step. Whole prefills go to the rank groups that have their turn,
+An upstream that is likely to hold the prompt's prefix is taken while it is hardly
+busier than the mean: all ranks of a group wait for the longest prefill, so a cache hit
+shortens everyone's step. Other prompts go to the rank groups whose turn fits them,
 unless these are too busy.
 
 Otherwise every entry host sees reports of about the same age. If each sent its
@@ -23,8 +23,8 @@
 
 __all__ = ["Candidate", "choose_candidate", "fill_level"]
 
+HOME_SLACK_REQUESTS = 0.1
 TURN_SLACK_REQUESTS = 4.0
-ROUNDING_REQUESTS = 1e-9
 
 
 class Candidate(NamedTuple):
@@ -67,7 +67,7 @@
     homes: Collection[str],
     arriving: float,
     rng: random.Random,
-    in_turn: Collection[str] = (),
+    preferred: Collection[str] = (),
 ) -> Candidate | None:
     """Return a candidate, or None without any.
 
@@ -79,18 +79,18 @@
     arriving : float
         Requests that all entry hosts sent to the candidates since their reports.
     rng : random.Random
-    in_turn : collection of str
-        Names of those whose rank group has its turn for prefills; empty without turns.
+    preferred : collection of str
+        Names of those whose rank group the prompt should go to; empty without turns.
     """
     if not candidates:
         return None
     mean = sum(candidate.load for candidate in candidates) / len(candidates)
-    bound = mean + ROUNDING_REQUESTS
+    bound = mean + HOME_SLACK_REQUESTS
     at_home = [c for c in candidates if c.name in homes and c.load <= bound]
     if at_home:
-        near = [candidate for candidate in at_home if candidate.name in in_turn]
+        near = [candidate for candidate in at_home if candidate.name in preferred]
         return min(near or at_home, key=lambda candidate: candidate.load)
-    turn = [candidate for candidate in candidates if candidate.name in in_turn]
+    turn = [candidate for candidate in candidates if candidate.name in preferred]
     if turn and sum(c.load for c in turn) / len(turn) <= mean + TURN_SLACK_REQUESTS:
         arriving *= len(turn) / len(candidates)
         candidates = turn
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -39,7 +39,7 @@
     far_cost_requests : float
         By how many requests an agent of another data centre counts as busier.
     turns : PrefillTurns, optional
-        Which rank groups have their turn for prefills.
+        Which rank groups a prompt should go to now.
     """
 
     def __init__(
@@ -72,8 +72,8 @@
         ]
         arriving = arriving_requests([view.load for view in views.values()])
         homes = prefix_homes(request.prefix_digest, views)
-        in_turn = self._turns.in_turn(views)
-        chosen = choose_candidate(candidates, homes, arriving, self._rng, in_turn)
+        preferred = self._turns.preferred(views, request.priority_class)
+        chosen = choose_candidate(candidates, homes, arriving, self._rng, preferred)
         return None if chosen is None else views[chosen.name]
 
     def live_agents(
--- a/poplarward/requests/routing/turns.py
+++ b/poplarward/requests/routing/turns.py
@@ -2,7 +2,8 @@
 
 All ranks of a group wait for the slowest in each step, so one rank's prefill costs its
 group as much as a prefill on every rank. Half of the groups have their turn at a time,
-so the prefills of a group's ranks fall into the same steps. Entry hosts take the turns
+so the prefills of a group's ranks fall into the same steps. Urgent prompts, which are
+short, go to the other half, where the steps are. Entry hosts take the turns
 from their clocks and the list of hosts, without a message; clocks that differ by a
 part of a turn blur its edges and do no other harm.
 """
@@ -13,6 +14,7 @@
 from collections.abc import Callable, Collection, Iterable
 
 from ...coordination.hosts import HostEntry
+from ...protocol.requests import PriorityClass
 
 __all__ = ["TURN_MS", "PrefillTurns"]
 
@@ -20,7 +22,7 @@
 
 
 class PrefillTurns:
-    """Tells which agents' rank groups have their turn.
+    """Tells which agents a new prompt should go to by their rank groups' turns.
 
     Parameters
     ----------
@@ -32,7 +34,7 @@
     >>> turns = PrefillTurns(lambda: 0.0)
     >>> entry = HostEntry("agent-1", "agent", "rennes", "live", "10.0.0.1:9000")
     >>> turns.take_hosts([entry])
-    >>> turns.in_turn(["agent-1"])
+    >>> turns.preferred(["agent-1"], PriorityClass.DRAFTING)
     set()
     """
 
@@ -56,20 +58,24 @@
             if len(ordered[agent.upstream]) > 1
         }
 
-    def in_turn(self, agents: Collection[str]) -> set[str]:
-        """Return the agents whose group has its turn; none if there are no turns.
+    def preferred(
+        self, agents: Collection[str], priority_class: PriorityClass
+    ) -> set[str]:
+        """Return the agents to prefer for a prompt; none if there are no turns.
 
         Agents of a pool with one group, or without a label, take no turns.
         """
         if not any(name in self._places for name in agents):
             return set()
         turn = int(self._clock() * 1000 / TURN_MS)
-        return {name for name in agents if self._has_turn(name, turn)}
+        has_turn = priority_class is PriorityClass.DRAFTING
+        return {
+            name
+            for name in agents
+            if name not in self._places or self._has_turn(name, turn) is has_turn
+        }
 
     def _has_turn(self, name: str, turn: int) -> bool:
-        place = self._places.get(name)
-        if place is None:
-            return True
-        index, n_groups = place
+        index, n_groups = self._places[name]
         half = n_groups // 2
         return (index + turn * half) % n_groups < half
