Blame a test for what it leaves unclosed, not the one that runs later

Cause of verdicts that were red once and never again: warnings are errors, and what a test leaves in a reference cycle is warned of whenever garbage happens to be collected. That is most likely in a test that allocates much, as test_first_tokens_come_sooner_than_with_every_baseline[13] and test_any_bytes_are_a_message_or_refused do. Shown on a pair of tests: the first leaves a socket, the second only allocates, and the second failed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,15 @@
-"""Makes random choices the same on every run, from one seed that can be varied."""
+"""Makes verdicts the same on every run.
+
+Random choices come from one seed that can be varied, and what a test leaves unclosed
+fails that test and not the one that runs when its garbage happens to be collected.
+"""
 
 from __future__ import annotations
 
+import gc
 import random
+import sys
+from collections.abc import Iterator
 
 import pytest
 import trio
@@ -32,3 +39,18 @@
     seed = request.config.getoption("--schedule-seed")
     trio._core._run._r.seed(seed)
     random.seed(seed)
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_teardown(item: pytest.Item) -> Iterator[None]:
+    """Fail a test that left something unclosed, once its fixtures have ended."""
+    yield
+    left: list[str] = []
+    previous = sys.unraisablehook
+    sys.unraisablehook = lambda found: left.append(repr(found.exc_value))
+    try:
+        gc.collect()
+    finally:
+        sys.unraisablehook = previous
+    if left:
+        pytest.fail("the test left behind: " + "; ".join(left), pytrace=False)
