Send a model's requests to all of its groups, as one pool

Cause: a model was mapped to one model group, so of several groups with the same model only one got requests. Each group was also a pool of its own for the subset of agents, and at the target size (312 groups of 32 hosts) every pool was small enough to be connected whole: 9,984 connections an entry host, where 0.074% of a core each are spent.

Ruled out: letting callers name the group (they know models); connecting to the groups that a service names only (each service another pool).

Change: UpstreamPools tells which upstreams take the same requests; directory, router and connections use it. Large pools share the connections that an entry host can afford. The number of entry hosts that an agent takes is rounded by the agent's name, since rounding all alike moved a sixth of all connections at some sizes.

--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -33,6 +33,7 @@
     Gateway,
     Relay,
     Router,
+    UpstreamPools,
     WorkspaceLimits,
     named_addresses,
 )
@@ -120,14 +121,16 @@
 
     def _make_requests(self) -> None:
         agents = AgentTable(self.peers)
+        pools = UpstreamPools(self.view)
         router = Router(
             agents,
             leaving=self._agents_to_avoid,
+            pool_of=pools.of_upstream,
             data_centre=self._settings["data_centre"],
             far_cost_requests=self._settings.get("far_cost_requests", 0.0),
         )
         self.connections = AgentConnections(
-            self.peers, agents, lambda: self.hosts.hosts.values()
+            self.peers, agents, lambda: self.hosts.hosts.values(), pools
         )
         self.limits = WorkspaceLimits(
             self.peers,
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -11,6 +11,7 @@
 from .execution import Executor
 from .gateway import Gateway
 from .limits import WorkspaceLimits
+from .pools import UpstreamPools
 from .relay import Relay
 from .routing import AgentConnections, AgentTable, AgentView, Router
 from .upstream import UpstreamSettings
@@ -25,6 +26,7 @@
     "Gateway",
     "Relay",
     "Router",
+    "UpstreamPools",
     "UpstreamSettings",
     "WorkspaceLimits",
     "named_addresses",
--- a/poplarward/requests/caller.py
+++ b/poplarward/requests/caller.py
@@ -19,7 +19,13 @@
 
 
 class CallerRequest(NamedTuple):
-    """A caller's request, checked and given its target and class."""
+    """A caller's request, checked and given its target and class.
+
+    Attributes
+    ----------
+    upstream : str
+        Pool of the upstreams that may answer.
+    """
 
     workspace: str
     upstream: str
--- a/poplarward/requests/directory.py
+++ b/poplarward/requests/directory.py
@@ -8,6 +8,7 @@
 from ..protocol.requests import PriorityClass
 from ..state import ConfigurationView
 from .caller import CallerError
+from .pools import UpstreamPools
 
 __all__ = ["Directory"]
 
@@ -32,7 +33,7 @@
         self._configuration = configuration
         self._built_at_change = -1
         self._workspace_of_digest: dict[str, str] = {}
-        self._group_of_model: dict[str, str] = {}
+        self._pools = UpstreamPools(configuration)
 
     def workspace(self, authorization: str) -> str:
         """Return the workspace of an ``Authorization`` header's bearer token."""
@@ -49,10 +50,9 @@
         spec = self._configuration.get("workspaces", workspace)
         return max(MIN_SHARE, spec.get("share", DEFAULT_SHARE)) if spec else MIN_SHARE
 
-    def model_group(self, model: Any) -> str:
-        """Return the model group that serves a model."""
-        self._refresh()
-        name = self._group_of_model.get(model) if isinstance(model, str) else None
+    def model_pool(self, model: Any) -> str:
+        """Return the pool of the model groups that serve a model."""
+        name = self._pools.of_model(model) if isinstance(model, str) else None
         if name is None:
             raise CallerError(404, f"no model group serves {str(model)[:80]!r}")
         return name
@@ -67,15 +67,15 @@
                 return call["repeatable"]
         return False
 
-    def service(self, workspace: str, name: str, upstream: str) -> Any:
+    def service(self, workspace: str, name: str, pool: str) -> Any:
         """Return the calling service that a request names, None if it names none."""
         if not name:
             return None
         spec = self._configuration.get("services", name)
         if spec is None:
             raise CallerError(404, f"no service {name[:80]!r}")
-        if spec["upstream"] != upstream:
-            raise CallerError(403, f"service {name} does not call {upstream}")
+        if self._pools.of_upstream(spec["upstream"]) != pool:
+            raise CallerError(403, f"service {name} does not call {pool}")
         allowed = self._configuration.get("workspaces", workspace)["services"]
         if allowed and name not in allowed:
             raise CallerError(403, f"workspace {workspace} does not have {name}")
@@ -94,10 +94,6 @@
             for name, spec in self._configuration.specs("workspaces")
             for digest in spec["token_sha256"]
         }
-        self._group_of_model = {
-            spec["model"]: name
-            for name, spec in self._configuration.specs("modelgroups")
-        }
 
 
 def _is_below(path: str, prefix: str) -> bool:
--- /dev/null
+++ b/poplarward/requests/pools.py
@@ -0,0 +1,62 @@
+"""Tells which upstreams take the same requests.
+
+Model groups that serve one model are one pool: callers name the model, and any of the
+groups may answer. A plain service is a pool of its own. A pool is named after the
+first of its upstreams, by name.
+"""
+
+from __future__ import annotations
+
+from ..state import ConfigurationView
+
+__all__ = ["UpstreamPools"]
+
+
+class UpstreamPools:
+    """The pools of the configuration in force.
+
+    The index is rebuilt after a change of the configuration, on the next look-up.
+
+    Parameters
+    ----------
+    configuration : ConfigurationView
+        What is in force.
+    """
+
+    def __init__(self, configuration: ConfigurationView):
+        self._configuration = configuration
+        self._built_at_change = -1
+        self._pool_of_model: dict[str, str] = {}
+        self._pool_of_group: dict[str, str] = {}
+
+    def of_upstream(self, upstream: str) -> str:
+        """Return the pool of a model group or plain service, by name."""
+        self._refresh()
+        return self._pool_of_group.get(upstream, upstream)
+
+    def of_model(self, model: str) -> str | None:
+        """Return the pool that serves a model, None if there is none."""
+        self._refresh()
+        return self._pool_of_model.get(model)
+
+    def by_group(self) -> dict[str, str]:
+        """Return the pool of each model group; the same object until one changes."""
+        self._refresh()
+        return self._pool_of_group
+
+    def _refresh(self) -> None:
+        if self._built_at_change == self._configuration.n_changes:
+            return
+        self._built_at_change = self._configuration.n_changes
+        model_of_group = {
+            name: spec["model"]
+            for name, spec in self._configuration.specs("modelgroups")
+        }
+        self._pool_of_model = {}
+        for name in sorted(model_of_group):
+            self._pool_of_model.setdefault(model_of_group[name], name)
+        pools = {
+            name: self._pool_of_model[model] for name, model in model_of_group.items()
+        }
+        if pools != self._pool_of_group:
+            self._pool_of_group = pools
--- a/poplarward/requests/reading.py
+++ b/poplarward/requests/reading.py
@@ -93,10 +93,10 @@
 def _read_target(request: HttpRequest, body: bytes, directory: Directory) -> _Target:
     if (request.method, request.path) == ("POST", "/v1/completions"):
         document = _read_completion(body)
-        group = directory.model_group(document["model"])
+        pool = directory.model_pool(document["model"])
         prompt = document["prompt"]
         return _Target(
-            group,
+            pool,
             request.target,
             True,
             PriorityClass.DRAFTING,
--- a/poplarward/requests/routing/connections.py
+++ b/poplarward/requests/routing/connections.py
@@ -12,6 +12,7 @@
 from ...protocol.reports import ReportInterval
 from ...slices import in_slices
 from ...telemetry import get_logger
+from ..pools import UpstreamPools
 from .subset import AgentSubset, PoolMember
 from .table import AgentTable
 
@@ -47,6 +48,8 @@
         Tells the agents that still run requests of this entry host.
     hosts : callable
         Returns the platform's list of hosts.
+    pools : UpstreamPools, optional
+        Tells the upstreams that are one pool; without it each is one.
     """
 
     def __init__(
@@ -54,13 +57,16 @@
         peers: Peers,
         table: AgentTable,
         hosts: Callable[[], Iterable[HostEntry]],
+        pools: UpstreamPools | None = None,
     ):
         self._peers = peers
         self._table = table
         self._hosts = hosts
+        self._pools = pools
         identity = peers.identity
         self._subset = AgentSubset(PoolMember(identity.name, identity.data_centre))
         self._listed: list[HostEntry] = []
+        self._pool_of: dict[str, str] = {}
         self._wanted: list[HostEntry] = []
         self._asked: dict[Connection, int] = {}
 
@@ -78,9 +84,10 @@
             await trio.sleep(CHECK_INTERVAL_S)
 
     async def _refresh(self) -> None:
-        """Work out the subset again if the list of hosts has changed."""
+        """Work out the subset again if the hosts or the pools have changed."""
         listed = list(self._hosts())
-        if listed == self._listed:
+        pool_of = self._pools.by_group() if self._pools else self._pool_of
+        if listed == self._listed and pool_of is self._pool_of:
             return
         identity = self._peers.identity
         own = PoolMember(identity.name, identity.data_centre)
@@ -88,11 +95,13 @@
         agents = [host for host in listed if _is_serving(host, "agent")]
         pools: dict[str, list[PoolMember]] = {}
         for host in agents:
-            pools.setdefault(host.upstream, []).append(_member(host))
+            pools.setdefault(pool_of.get(host.upstream, host.upstream), []).append(
+                _member(host)
+            )
         await trio.lowlevel.checkpoint()
         names = await in_slices(self._subset.choose(entries, pools.values()))
         self._wanted = sorted(host for host in agents if host.name in names)
-        self._listed = listed
+        self._listed, self._pool_of = listed, pool_of
 
     async def _connect(self, host: HostEntry, interval_ms: int) -> None:
         try:
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -33,6 +33,8 @@
         Seed of the random draws.
     leaving : callable
         Returns the names of agents that get no new work whatever they report.
+    pool_of : callable
+        Returns the pool of a model group or plain service.
     data_centre : str
         Data centre of the entry host.
     far_cost_requests : float
@@ -44,12 +46,14 @@
         agents: AgentTable,
         seed: int = 0,
         leaving: Callable[[], Collection[str]] = _none,
+        pool_of: Callable[[str], str] = str,
         data_centre: str = "",
         far_cost_requests: float = 0.0,
     ):
         self._agents = agents
         self._rng = random.Random(seed)
         self._leaving = leaving
+        self._pool_of = pool_of
         self._data_centre = data_centre
         self._far_cost_requests = far_cost_requests
 
@@ -70,15 +74,14 @@
         chosen = choose_candidate(candidates, homes, arriving, self._rng)
         return None if chosen is None else views[chosen.name]
 
-    def live_agents(
-        self, upstream: str, excluded: Collection[str] = ()
-    ) -> list[AgentView]:
-        """Return the agents that take new work and are not excluded by name."""
+    def live_agents(self, pool: str, excluded: Collection[str] = ()) -> list[AgentView]:
+        """Return a pool's agents that take new work and are not excluded by name."""
         barred = {*excluded, *self._leaving()}
         return [
             view
-            for view in self._agents.views(upstream)
+            for view in self._agents.views()
             if view.report.state is UpstreamState.LIVE
+            and self._pool_of(view.report.upstream) == pool
             and view.identity.name not in barred
         ]
 
--- a/poplarward/requests/routing/subset.py
+++ b/poplarward/requests/routing/subset.py
@@ -5,16 +5,18 @@
 that come first for it by rendezvous hashing: the same number for each agent, so that
 its load is known and spread evenly, and a host that joins or leaves moves only the
 connections that it has itself. Agents of the entry host's own data centre come
-first; a few connections lead elsewhere for when these are all away or full.
+first; a few connections lead elsewhere for when these are all away or full. Large
+pools share the connections that an entry host can afford.
 """
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from functools import lru_cache
 from typing import NamedTuple
 
+import xxhash
+
 from ...hashing import KeptRankings
 from ...slices import Work, at_once
 
@@ -23,6 +25,8 @@
 MAX_WHOLE_POOL = 64
 N_NEAR_AGENTS = 24
 N_FAR_AGENTS = 8
+MIN_NEAR_AGENTS = 8
+MIN_FAR_AGENTS = 3
 ENTRIES_PER_LOT = 32
 
 
@@ -39,6 +43,31 @@
     data_centre: str
 
 
+class _Sizes(NamedTuple):
+    """Agents of a large pool that an entry host connects to, in the mean."""
+
+    n_near: int
+    n_far: int
+
+
+def _sizes(n_large_pools: int) -> _Sizes:
+    n_large_pools = max(1, n_large_pools)
+    return _Sizes(
+        max(MIN_NEAR_AGENTS, N_NEAR_AGENTS // n_large_pools),
+        max(MIN_FAR_AGENTS, N_FAR_AGENTS // n_large_pools),
+    )
+
+
+def _n_takers(agent: PoolMember, mean: float) -> int:
+    """Return how many entry hosts an agent takes; at least one.
+
+    Agents differ by one at most, in a mix that follows the mean smoothly, so that a
+    host that joins or leaves changes few of them.
+    """
+    share = xxhash.xxh32_intdigest(agent.name.encode()) / 2**32
+    return max(1, int(mean + share))
+
+
 class AgentSubset:
     """The agents that one entry host connects to.
 
@@ -74,6 +103,8 @@
             self._own_site = own_site
         chosen: set[str] = set()
         ranked: set[str] = set()
+        pools = list(pools)
+        sizes = _sizes(sum(len(agents) > MAX_WHOLE_POOL for agents in pools))
         for agents in pools:
             if len(agents) <= MAX_WHOLE_POOL:
                 chosen.update(agent.name for agent in agents)
@@ -81,7 +112,7 @@
             else:
                 ranked.update(agent.name for agent in agents)
                 yield len(agents)
-                yield from self._choose_of(agents, sites, len(entries), chosen)
+                yield from self._choose_of(agents, sites, sizes, chosen)
         self._rankings.keep(ranked)
         self._far_lots.keep(ranked)
         return chosen
@@ -90,20 +121,21 @@
         self,
         agents: Sequence[PoolMember],
         sites: Mapping[str, Sequence[str]],
-        n_entries: int,
+        sizes: _Sizes,
         chosen: set[str],
     ) -> Work[None]:
         """Add the agents of one large pool to those chosen."""
         own = self._entry.data_centre
         n_near_agents = sum(agent.data_centre == own for agent in agents)
-        n_near = math.ceil(N_NEAR_AGENTS * len(self._own_site) / max(1, n_near_agents))
-        n_far = math.ceil(N_FAR_AGENTS * n_entries / len(agents))
+        n_entries = sum(len(names) for names in sites.values())
+        n_near = sizes.n_near * len(self._own_site) / max(1, n_near_agents)
+        n_far = sizes.n_far * n_entries / len(agents)
         lots = _far_lots(sites, {agent.data_centre for agent in agents})
         for agent in agents:
             n_before = self._rankings.n_weighed + self._far_lots.n_weighed
             is_near = agent.data_centre == own
             if is_near or self._is_far_choice(agent, lots[agent.data_centre]):
-                n = n_near if is_near else n_far
+                n = _n_takers(agent, n_near if is_near else n_far)
                 takers = self._rankings.first(agent.name, self._own_site, n)
                 if self._entry.name in takers:
                     chosen.add(agent.name)
--- a/poplarward/requests/routing/table.py
+++ b/poplarward/requests/routing/table.py
@@ -45,11 +45,9 @@
         peers.register(AgentReport, self._on_report)
         peers.on_lost.append(self._on_lost)
 
-    def views(self, upstream: str) -> list[AgentView]:
-        """Return the connected agents of a model group or plain service."""
-        return [
-            view for view in self._views.values() if view.report.upstream == upstream
-        ]
+    def views(self) -> list[AgentView]:
+        """Return the connected agents."""
+        return list(self._views.values())
 
     def is_idle(self, connection: Connection) -> bool:
         """Whether this entry host has no request at the agent of a connection."""
--- a/tests/requests/routing/test_subset.py
+++ b/tests/requests/routing/test_subset.py
@@ -46,6 +46,34 @@
     assert chosen == set(agents_to_connect(OWN, entries, agents))
 
 
+def test_no_size_is_a_threshold_at_which_connections_move():
+    agents = members("agent", range(300))
+    entries = members("entry", range(60))
+    n_most = 2 * (24 + 8)
+    subsets = {entry: AgentSubset(entry) for entry in entries}
+    before = {e: at_once(s.choose(entries, [agents])) for e, s in subsets.items()}
+    while len(entries) > 40:
+        before.pop(entries.pop())
+        after = {e: at_once(subsets[e].choose(entries, [agents])) for e in entries}
+        assert sum(len(before[e] - after[e]) for e in entries) <= n_most
+        before = after
+
+
+def test_large_pools_share_the_connections():
+    """Five models at the target size; every agent is reached by some entry host."""
+    entries = members("entry", range(1000), 18)
+    models = [
+        [PoolMember(f"agent-{m}-{i}", f"site-{i % 18}") for i in range(2000)]
+        for m in range(5)
+    ]
+    sample = [AgentSubset(entry) for entry in entries[:72:18]]
+    chosen = [at_once(subset.choose(entries, models)) for subset in sample]
+    assert all(len(names) <= 100 for names in chosen)
+    for m in range(5):
+        numbers = [sum(n.startswith(f"agent-{m}-") for n in names) for names in chosen]
+        assert min(numbers) >= 4
+
+
 async def test_hosts_that_change_meanwhile_are_taken_over(nursery, autojump_clock):
     network = MemoryNetwork(seed=1)
     identity = ProcessIdentity("entry", *OWN[:1], 1, Address("10.0.0.1", 1), OWN[1])
