--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -60,6 +60,7 @@
             section["url"],
             section["n_slots"],
             upstream_access(section),
+            section.get("kv_limit_tokens", 0),
         )
         self.peers = Peers(peers_network(settings), identity, settings["peer_secret"])
         self.store = HttpObjectStore(
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -125,7 +125,7 @@
         router = Router(
             agents,
             leaving=self._agents_to_avoid,
-            pool_of=pools.of_upstream,
+            pools=pools,
             data_centre=self._settings["data_centre"],
             far_cost_requests=self._settings.get("far_cost_requests", 0.0),
         )
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -11,6 +11,7 @@
 from .ends import overloaded, replay
 from .health import UpstreamHealth
 from .in_hand import AttemptInHand
+from .kv_admission import KvMemory, KvShare
 from .payments import Declined, Payments, Recorded
 from .slots import Demand, FairSlots
 from .upstream import Upstream
@@ -43,7 +44,8 @@
         payments: Payments | None = None,
     ):
         self._upstream = upstream
-        self._slots = FairSlots(n_slots)
+        memory = KvMemory(upstream.settings.kv_limit_tokens)
+        self._slots = FairSlots(n_slots, memory)
         self._health = health
         self._refused = refused
         self._payments = payments
@@ -85,7 +87,7 @@
             return overloaded(attempt, error)
 
     async def _run_with_slot(self, attempt: AttemptInHand) -> End | None:
-        async with self._slots.hold(_demand(attempt.submit)):
+        async with self._slots.hold(_demand(attempt.submit)) as share:
             # A slot may be handed over in the same step as the bar was answered.
             if attempt.barred:
                 return None
@@ -93,9 +95,9 @@
             if not attempt.submit.repeatable:
                 # Its outcome is worth more than the deadline.
                 attempt.scope.deadline = trio.current_time() + 1e9
-            return await self._forward(attempt)
+            return await self._forward(attempt, share)
 
-    async def _forward(self, attempt: AttemptInHand) -> End:
+    async def _forward(self, attempt: AttemptInHand, share: KvShare) -> End:
         """Forward one attempt; returns its end."""
         submit = attempt.submit
         try:
@@ -109,6 +111,7 @@
                         submit.request_id, attempt.n_pieces, piece, answer.has_events
                     )
                     attempt.n_pieces += 1
+                    share.grow()
                     if attempt.is_keyed:
                         attempt.body.append(piece)
             return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
@@ -127,4 +130,6 @@
         submit.share,
         max(1, submit.n_tokens),
         submit.deadline_ms,
+        # A resumed answer is in the engine's memory as if it were prompt.
+        submit.n_prompt_tokens + submit.n_pieces_received,
     )
--- a/tests/requests/test_pools.py
+++ b/tests/requests/test_pools.py
@@ -12,6 +12,7 @@
 from poplarward.requests import AgentConnections, AgentTable, Router, UpstreamPools
 from poplarward.requests.caller import CallerError, CallerRequest
 from poplarward.requests.directory import Directory
+from poplarward.requests.routing.turns import TURN_MS, PrefillTurns
 from poplarward.state import ConfigurationView, Resource
 from poplarward.transport import Address, MemoryNetwork
 
@@ -73,7 +74,8 @@
     network = MemoryNetwork()
     peers = await _start_peers(network, nursery, "entry", "entry-1", "10.0.0.1")
     pools = UpstreamPools(configuration.view)
-    router = Router(AgentTable(peers), pool_of=pools.of_upstream)
+    turns = PrefillTurns(trio.current_time)
+    router = Router(AgentTable(peers), pools=pools, turns=turns)
     for number, group in enumerate("aabbcd"):
         host = f"10.1.0.{number}"
         agent = await _start_peers(network, nursery, "agent", f"{group}-{number}", host)
@@ -84,8 +86,12 @@
     request = CallerRequest(
         "w", pool, PriorityClass.DRAFTING, 1000, True, "POST", "/", [], b"", ""
     )
-    chosen = {router.choose(request).identity.name for _ in range(100)}
-    assert chosen == {"a-0", "a-1", "b-2", "b-3"}
+    chosen = []
+    for _ in range(2):
+        chosen.append({router.choose(request).identity.name for _ in range(50)})
+        await trio.sleep(TURN_MS / 1000)
+    assert sorted(map(sorted, chosen)) == [["a-0", "a-1"], ["b-2", "b-3"]]
+    assert pools.groups(pool) == ["a", "b"]
     nursery.cancel_scope.cancel()
 
 
