Refuse requests that crash upstreams, named by their second crash

Cause: a request that crashes its engine was tried again at up to four engines and lost them all, each time that it was sent.

Change: an agent tells a crash from a broken connection (all that ran broke off within 50 ms; time-outs, callers who leave and planned stops do not count). What ran is suspect. All entry hosts send a suspect to the same agent, where suspects run one at a time; the one that was alone among suspects in a crash is refused for ten minutes, with 422. Suspects that end are cleared. Verdicts spread over the open connections, each confirmed, and a new connection gets all of them. Nothing is hashed or sent while there is no verdict.

--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -110,11 +110,14 @@
     ----------
     sent : bool
         Whether the upstream may have received the request.
+    broke_off : bool
+        Whether the connection was lost after that, not just silent for too long.
     """
 
-    def __init__(self, reason: str, *, sent: bool):
+    def __init__(self, reason: str, *, sent: bool, broke_off: bool | None = None):
         super().__init__(reason)
         self.sent = sent
+        self.broke_off = sent if broke_off is None else broke_off
 
 
 class WeightsUnavailable(PoplarwardError):
--- a/poplarward/programs/agent.py
+++ b/poplarward/programs/agent.py
@@ -30,7 +30,7 @@
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
 from ..requests.payments import Payments
-from ..state import ConfigurationView, HttpObjectStore
+from ..state import ConfigurationView, HttpObjectStore, drained_hosts
 from ..telemetry import get_logger
 from ..transport import Address, HttpClient, asgi_application, serve_http
 from .monitoring import Monitoring
@@ -66,11 +66,17 @@
     )
     peers = Peers(peers_network(settings), identity, settings["peer_secret"])
     store = HttpObjectStore(settings["platform_url"])
-    configuration = ConfigurationSync(peers, store, ConfigurationView())
+    view = ConfigurationView()
+    configuration = ConfigurationSync(peers, store, view)
     payments = None
     if upstream.kind is UpstreamKind.PLAIN:
         payments = Payments(store, identity, upstream.name, identity.start_id)
-    executor = Executor(peers, upstream, payments=payments)
+    executor = Executor(
+        peers,
+        upstream,
+        payments=payments,
+        is_stopping=lambda: identity.name in drained_hosts(view),
+    )
     if upstream.kind is UpstreamKind.ENGINE:
         lease = slot_of(map_role(upstream.name))
         fences = FenceKeeper(peers, store, upstream.name, lease, lambda: None)
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -127,10 +127,11 @@
             self.view,
             lambda: [member.identity for member in self.membership.live("entry")],
         )
+        self.attempts = AttemptLoop(self.peers, Relay(self.peers), router)
         self.gateway = Gateway(
             self.view,
             Admission(limits=self.limits),
-            AttemptLoop(self.peers, Relay(self.peers), router),
+            self.attempts,
             self._addresses_to_name,
             self.metrics,
         )
@@ -170,6 +171,7 @@
         await self.configuration.start(nursery)
         await self.roles.start(nursery)
         await self.limits.start(nursery)
+        await self.attempts.start(nursery)
         nursery.start_soon(self.connections.run)
         nursery.start_soon(self._disconnect_gone_agents)
         if "metrics_listen" in self._settings:
--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -252,6 +252,11 @@
         """Outgoing connections that are open."""
         return sum(link.connection is not None for link in self._links.values())
 
+    def open_connections(self) -> list[Connection]:
+        """Return every open connection, whoever opened it."""
+        links = [link.connection for link in self._links.values()]
+        return [*self.accepted, *(c for c in links if c is not None)]
+
     def open_connection(self, address: Address) -> Connection | None:
         """Return the open connection to an address, None if there is none."""
         link = self._links.get(address)
--- a/poplarward/protocol/requests.py
+++ b/poplarward/protocol/requests.py
@@ -50,6 +50,7 @@
     """Why an attempt ended without an upstream's answer."""
 
     NONE = ""
+    CRASHES_UPSTREAMS = "crashes-upstreams"
     DEADLINE = "deadline"
     KEY_CONFLICT = "key-conflict"
     KEY_FULL = "key-full"
@@ -78,6 +79,8 @@
         The workspace's share of the upstream within its class.
     n_tokens : int
         Tokens that the request is expected to take.
+    is_suspect : bool
+        Whether it was on an upstream that crashed.
     """
 
     request_id: RequestId
@@ -93,6 +96,7 @@
     n_pieces_received: int = 0
     share: float = 1.0
     n_tokens: int = 1
+    is_suspect: bool = False
 
 
 @message(11)
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -8,13 +8,16 @@
 import trio
 
 from ..errors import PeerUnreachable
+from ..hashing import rendezvous_ranking
 from ..protocol import Connection, Peers, RequestId
 from ..protocol.reports import UpstreamKind
 from ..protocol.requests import End, Head, Outcome, Refusal, Submit
+from ..protocol.suspects import Verdict
 from ..telemetry import get_logger
 from ..transport import Responder
 from .answers import Answer, AnswerChanged
 from .caller import CallerRequest
+from .ends import CRASH_REASON
 from .key_issuer import KeyIssuer
 from .payments import rank_owners, read_issued_key
 from .relay import Relay
@@ -28,6 +31,7 @@
 )
 from .routing import AgentView, Router
 from .streams import AttemptStream, Broken, Chunk
+from .suspects import SuspectSpread, SuspectTable, request_digest
 
 __all__ = ["AttemptLoop"]
 
@@ -39,6 +43,7 @@
 END_GRACE_MS = 250.0
 
 REFUSALS = {
+    Refusal.CRASHES_UPSTREAMS: (422, True),
     Refusal.DEADLINE: (504, False),
     Refusal.KEY_CONFLICT: (422, True),
     Refusal.KEY_FULL: (503, True),
@@ -69,6 +74,21 @@
         self.n_attempts = 0
         self.outcome = Outcome.NOT_RUN
         self.excluded: set[str] = set()
+        self._digest: int | None = None
+
+    @property
+    def digest(self) -> int:
+        """Names the request in all of its attempts, also through other entry hosts."""
+        if self._digest is None:
+            request = self.request
+            self._digest = request_digest(
+                request.upstream,
+                request.workspace,
+                request.method,
+                request.path,
+                request.body,
+            )
+        return self._digest
 
     @property
     def left_ms(self) -> float:
@@ -88,6 +108,8 @@
         Attempts made since the start.
     keys : KeyIssuer
         Obtains idempotency keys for callers.
+    suspects : SuspectTable
+        Verdicts on requests that were on an upstream when it crashed.
 
     Parameters
     ----------
@@ -95,6 +117,8 @@
         The entry host's links, the attempts in progress and the choice of agents.
     new_budget : callable, optional
         Returns the retry budget of one model group or plain service.
+    suspects : SuspectTable, optional
+        Replaces the attribute.
     """
 
     def __init__(
@@ -103,14 +127,21 @@
         relay: Relay,
         router: Router,
         new_budget: Callable[[], AttemptBudget] = AttemptBudget,
+        suspects: SuspectTable | None = None,
     ):
         self.n_attempts = 0
         self.keys = KeyIssuer(peers, router)
+        self.suspects = suspects or SuspectTable()
+        self._spread = SuspectSpread(peers, self.suspects)
         self._peers = peers
         self._relay = relay
         self._router = router
         self._budgets: defaultdict[str, AttemptBudget] = defaultdict(new_budget)
 
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to pass on which requests crash upstreams."""
+        nursery.start_soon(self._spread.run)
+
     async def run(self, request: CallerRequest, responder: Responder) -> None:
         """Answer a request, whatever becomes of its attempts."""
         budget = self._budgets[request.upstream]
@@ -123,7 +154,11 @@
             RETRY_AFTER_MS,
         )
         while True:
-            agent = self._choose(progress)
+            verdict = self._verdict(progress)
+            if verdict is Verdict.CONVICTED:
+                last = self._refuse(progress)
+                break
+            agent = self._choose(progress, verdict is Verdict.SUSPECT)
             if agent is None:
                 if request.is_keyed and read_issued_key(request.idempotency_key):
                     progress.outcome = Outcome.UNKNOWN
@@ -149,15 +184,33 @@
                 progress.excluded.add(agent.identity.name)
         await self._give_up(progress, last)
 
-    def _choose(self, progress: _Progress) -> AgentView | None:
+    def _verdict(self, progress: _Progress) -> Verdict | None:
+        if self.suspects.is_empty:
+            return None
+        return self.suspects.verdict(progress.digest)
+
+    def _refuse(self, progress: _Progress) -> Failure:
+        """Return the answer to a request that crashes upstreams."""
+        log.info("request.refused", digest=f"{progress.digest:016x}")
+        # An earlier one that may not be repeated may have run before the crash.
+        outcome = Outcome.NOT_RUN if progress.request.repeatable else Outcome.UNKNOWN
+        progress.outcome = combine_outcomes(progress.outcome, outcome)
+        left_ms = self.suspects.left_ms(progress.digest)
+        return Failure(outcome, CRASH_REASON, 422, left_ms, is_final=True)
+
+    def _choose(self, progress: _Progress, is_suspect: bool) -> AgentView | None:
         """Return the agent for the next attempt, or None."""
         request = progress.request
-        if not request.is_keyed:
+        if not request.is_keyed and not is_suspect:
             return self._router.choose(request, frozenset(progress.excluded))
         live = {
             view.identity.name: view
             for view in self._router.live_agents(request.upstream, progress.excluded)
         }
+        if not request.is_keyed:
+            # All entry hosts send a suspect to the same agent, which runs it once.
+            ranking = rendezvous_ranking(f"{progress.digest:x}", live)
+            return live[ranking[0]] if ranking else None
         owners = rank_owners(
             request.upstream,
             request.workspace,
@@ -220,6 +273,7 @@
             n_pieces_received=progress.answer.n_pieces,
             share=request.share,
             n_tokens=request.n_tokens,
+            is_suspect=self._verdict(progress) is Verdict.SUSPECT,
         )
 
     async def _follow(
@@ -311,6 +365,9 @@
         case End(outcome=outcome, error=error, refusal=refusal):
             by_default = 503 if outcome is Outcome.NOT_RUN else 502
             status, is_final = REFUSALS.get(refusal, (by_default, False))
+            if refusal is Refusal.CRASHES_UPSTREAMS and not progress.request.repeatable:
+                # An earlier one may have run before the crash.
+                outcome = Outcome.UNKNOWN
             return Failure(outcome, error, status, event.retry_after_ms, is_final)
     await answer.finish()
     return None
--- a/poplarward/requests/ends.py
+++ b/poplarward/requests/ends.py
@@ -10,7 +10,16 @@
 from .in_hand import AttemptInHand
 from .payments import Record
 
-__all__ = ["cut_short", "overloaded", "refused_by_state", "replay"]
+__all__ = [
+    "CRASH_REASON",
+    "crash_refused",
+    "cut_short",
+    "overloaded",
+    "refused_by_state",
+    "replay",
+]
+
+CRASH_REASON = "the request has crashed upstreams and is refused for a while"
 
 
 def refused_by_state(submit: Submit, state: UpstreamState) -> End:
@@ -24,6 +33,18 @@
     )
 
 
+def crash_refused(submit: Submit, left_ms: int) -> End:
+    """Return the end of an attempt of a request that crashes upstreams."""
+    return End(
+        submit.request_id,
+        Outcome.NOT_RUN,
+        submit.n_pieces_received,
+        CRASH_REASON,
+        left_ms,
+        Refusal.CRASHES_UPSTREAMS,
+    )
+
+
 def overloaded(attempt: AttemptInHand, error: Refused) -> End:
     """Return the end of an attempt that got no slot."""
     return End(
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from ..protocol import Connection, Peers, RequestId
@@ -28,6 +30,7 @@
 from .payments import Payments
 from .reporting import LoadReporter
 from .running import AttemptRunner
+from .suspects import SuspectSpread, SuspectTable
 from .upstream import Upstream, UpstreamClient, UpstreamSettings
 
 __all__ = ["Executor"]
@@ -51,6 +54,10 @@
         Replaces the HTTP client in tests.
     payments : Payments, optional
         Lets the calls of each idempotency key run at most once.
+    suspects : SuspectTable, optional
+        Verdicts on requests that were on an upstream when it crashed.
+    is_stopping : callable, optional
+        Returns whether the upstream is being stopped on purpose.
     """
 
     def __init__(
@@ -59,7 +66,11 @@
         settings: UpstreamSettings,
         client: UpstreamClient | None = None,
         payments: Payments | None = None,
+        suspects: SuspectTable | None = None,
+        is_stopping: Callable[[], bool] = lambda: False,
     ):
+        self.suspects = suspects or SuspectTable()
+        self._spread = SuspectSpread(peers, self.suspects)
         self._is_leaving = False
         self._health = UpstreamHealth()
         self._peers = peers
@@ -71,6 +82,8 @@
             settings.n_slots,
             self._health,
             self._note_refusal,
+            self.suspects,
+            lambda: self._is_leaving or is_stopping(),
             payments,
         )
         self._attempts: dict[RequestId, AttemptInHand] = {}
@@ -105,6 +118,7 @@
         if self._payments is not None:
             await self._payments.start(nursery)
         nursery.start_soon(self._reporter.run)
+        nursery.start_soon(self._spread.run)
 
     async def close(self) -> None:
         """Close the connections to the upstream."""
@@ -195,6 +209,9 @@
         self._outcomes.put(submit.request_id, end.outcome)
         del self._attempts[submit.request_id]
         attempt.ended.set()
+        if attempt.has_crashed:
+            # The entry host must know before it makes the next attempt.
+            await self._spread.tell(attempt.connection)
         attempt.packer.end(end)
 
     async def _note_refusal(self) -> None:
--- a/poplarward/requests/in_hand.py
+++ b/poplarward/requests/in_hand.py
@@ -7,6 +7,7 @@
 from ..protocol import Connection
 from ..protocol.requests import Head, Submit
 from .packing import PiecePacker
+from .suspects import Turn, request_digest
 
 __all__ = ["AttemptInHand"]
 
@@ -20,6 +21,10 @@
         Whether the upstream may have received it.
     barred : bool
         Whether it was promised that it never starts.
+    has_crashed : bool
+        Whether the upstream crashed while it ran.
+    turn : Turn, optional
+        Its turn among the suspects.
     """
 
     def __init__(self, submit: Submit, connection: Connection, packer: PiecePacker):
@@ -30,6 +35,8 @@
         self.ended = trio.Event()
         self.started = False
         self.barred = False
+        self.has_crashed = False
+        self.turn: Turn | None = None
         self.n_pieces = submit.n_pieces_received
         self.head: Head | None = None
         self.body: list[bytes] = []
@@ -44,6 +51,13 @@
         """Whether the upstream has begun its answer."""
         return self.n_pieces > self.submit.n_pieces_received
 
+    def digest(self, upstream: str) -> int:
+        """Return the number that names the request in all of its attempts."""
+        submit = self.submit
+        return request_digest(
+            upstream, submit.workspace, submit.method, submit.path, submit.body
+        )
+
     def stop(self) -> None:
         """Stop it, unless it is running and may not be repeated."""
         if not self.started:
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 import trio
 
 from ..errors import Refused, UpstreamUnreachable
-from ..protocol.requests import End, Head, Outcome, Submit
-from .ends import overloaded, replay
+from ..protocol.requests import End, Head, Outcome, Refusal, Submit
+from ..protocol.suspects import Verdict
+from .ends import CRASH_REASON, crash_refused, overloaded, replay
 from .health import UpstreamHealth
 from .in_hand import AttemptInHand
 from .payments import Declined, Payments, Recorded
 from .slots import Demand, FairSlots
+from .suspects import CrashWatch, SuspectLane, SuspectTable
 from .upstream import Upstream
 
 __all__ = ["AttemptRunner"]
@@ -30,6 +33,10 @@
         Is told whether the upstream takes connections.
     refused : callable
         Called when the upstream has refused a connection.
+    suspects : SuspectTable
+        Verdicts on requests that were on an upstream when it crashed.
+    is_planned : callable
+        Returns whether the upstream is being stopped on purpose.
     payments : Payments, optional
         Lets the calls of each idempotency key run at most once.
     """
@@ -40,16 +47,46 @@
         n_slots: int,
         health: UpstreamHealth,
         refused: Callable[[], Awaitable[None]],
+        suspects: SuspectTable,
+        is_planned: Callable[[], bool],
         payments: Payments | None = None,
     ):
         self._upstream = upstream
         self._slots = FairSlots(n_slots)
         self._health = health
         self._refused = refused
+        self._suspects = suspects
+        self._lane = SuspectLane()
+        self._watch = CrashWatch(suspects, is_planned)
         self._payments = payments
 
     async def run(self, attempt: AttemptInHand) -> End | None:
         """Run an attempt; returns its end, None if it was stopped."""
+        if self._suspects.is_empty and not attempt.submit.is_suspect:
+            return await self._run_by_key(attempt)
+        digest = attempt.digest(self._upstream.settings.name)
+        verdict = self._suspects.verdict(digest)
+        if verdict is None and attempt.submit.is_suspect:
+            # The entry host was told, and this agent not yet.
+            self._suspects.suspect([digest])
+            verdict = Verdict.SUSPECT
+        match verdict:
+            case Verdict.CONVICTED:
+                return crash_refused(attempt.submit, self._suspects.left_ms(digest))
+            case Verdict.SUSPECT:
+                return await self._run_in_turn(attempt, digest)
+        return await self._run_by_key(attempt)
+
+    async def _run_in_turn(self, attempt: AttemptInHand, digest: int) -> End | None:
+        """Run a suspect when no other one does; returns its end."""
+        is_strict = self._suspects.n_crashes(digest) > 1
+        async with self._lane.turn(is_strict) as turn:
+            if self._suspects.verdict(digest) is Verdict.CONVICTED:
+                return crash_refused(attempt.submit, self._suspects.left_ms(digest))
+            attempt.turn = turn
+            return await self._run_by_key(attempt)
+
+    async def _run_by_key(self, attempt: AttemptInHand) -> End | None:
         if self._payments is not None and attempt.is_keyed:
             return await self._run_once(attempt, self._payments)
         return await self._run_in_slot(attempt)
@@ -97,27 +134,54 @@
 
     async def _forward(self, attempt: AttemptInHand) -> End:
         """Forward one attempt; returns its end."""
+        with self._watch.running() as number:
+            try:
+                return await self._pass_on(attempt)
+            except UpstreamUnreachable as error:
+                return await self._broke_off(attempt, number, error)
+
+    async def _pass_on(self, attempt: AttemptInHand) -> End:
         submit = attempt.submit
-        try:
-            async with self._upstream.forward(submit) as answer:
-                self._health.succeeded()
-                head = Head(submit.request_id, answer.status, answer.headers)
-                attempt.packer.head(head)
-                attempt.head = head
-                async for piece in answer.pieces():
-                    attempt.packer.add(
-                        submit.request_id, attempt.n_pieces, piece, answer.has_events
-                    )
-                    attempt.n_pieces += 1
-                    if attempt.is_keyed:
-                        attempt.body.append(piece)
-            return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
-        except UpstreamUnreachable as error:
-            if not error.sent:
-                await self._refused()
-            outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
-            reason = f"upstream: {error}"
-            return End(submit.request_id, outcome, attempt.n_pieces, reason)
+        async with self._upstream.forward(submit) as answer:
+            self._health.succeeded()
+            head = Head(submit.request_id, answer.status, answer.headers)
+            attempt.packer.head(head)
+            attempt.head = head
+            async for piece in answer.pieces():
+                attempt.packer.add(
+                    submit.request_id, attempt.n_pieces, piece, answer.has_events
+                )
+                attempt.n_pieces += 1
+                if attempt.is_keyed:
+                    attempt.body.append(piece)
+                if attempt.turn is not None:
+                    attempt.turn.note_piece()
+        if not self._suspects.is_empty:
+            self._suspects.clear(attempt.digest(self._upstream.settings.name))
+        return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
+
+    async def _broke_off(
+        self, attempt: AttemptInHand, number: int, error: UpstreamUnreachable
+    ) -> End:
+        submit = attempt.submit
+        if not error.sent:
+            await self._refused()
+        outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
+        end = End(submit.request_id, outcome, attempt.n_pieces, f"upstream: {error}")
+        if not error.broke_off:
+            return end
+        digest = attempt.digest(self._upstream.settings.name)
+        attempt.has_crashed = await self._watch.broke_off(number, digest)
+        if not attempt.has_crashed:
+            return end
+        if self._suspects.verdict(digest) is not Verdict.CONVICTED:
+            return end
+        return dataclasses.replace(
+            end,
+            error=CRASH_REASON,
+            retry_after_ms=self._suspects.left_ms(digest),
+            refusal=Refusal.CRASHES_UPSTREAMS,
+        )
 
 
 def _demand(submit: Submit) -> Demand:
--- a/poplarward/standins/engine.py
+++ b/poplarward/standins/engine.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -53,9 +54,24 @@
         Requests in a slot, and waiting for one.
     n_tokens_made : int
         Tokens generated since the start.
+
+    Parameters
+    ----------
+    timing : EngineTiming, optional
+    crash_marker : str
+        Text in a prompt that crashes the engine in the prompt's first step.
+    crash : callable, optional
+        Ends the engine and everything that runs on it.
     """
 
-    def __init__(self, timing: EngineTiming | None = None):
+    def __init__(
+        self,
+        timing: EngineTiming | None = None,
+        crash_marker: str = "",
+        crash: Callable[[], None] | None = None,
+    ):
+        self._crash_marker = crash_marker
+        self._crash = crash
         self.timing = timing or EngineTiming()
         self.n_running = 0
         self.n_waiting = 0
@@ -95,6 +111,9 @@
         words = completion_words(document["prompt"], n_tokens)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(request.cancel_on_disconnect, nursery.cancel_scope)
+            if self._crash is not None and self._crash_marker in document["prompt"]:
+                await self._stepped.wait()
+                self._crash()
             await self._generate(responder, words, first)
             nursery.cancel_scope.cancel()
 
--- a/poplarward/standins/program.py
+++ b/poplarward/standins/program.py
@@ -3,6 +3,7 @@
 Usage:
   poplarward-standin platform --listen ADDRESS [--host-list-lag-ms MS]
   poplarward-standin engine --listen ADDRESS [--step-ms MS] [--slots N]
+                            [--crash-marker TEXT]
   poplarward-standin ranks --listen ADDRESS --hosts N [--step-ms MS] [--ignore-fence]
   poplarward-standin ledger --listen ADDRESS [--work-ms MS]
   poplarward-standin (-h | --help)
@@ -13,6 +14,7 @@
   --host-list-lag-ms MS  Time a change of the host list takes to show [default: 500].
   --step-ms MS           Time of one step of the engine [default: 10].
   --slots N              Requests that the engine runs at once [default: 32].
+  --crash-marker TEXT    Text in a prompt that kills the engine's process.
   --hosts N              Hosts of the rank group, on ports from that of ADDRESS on.
   --ignore-fence         Carry out orders with an old fencing number too.
   --work-ms MS           Time that a call of the ledger takes [default: 2].
@@ -22,6 +24,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 from typing import Any
 
@@ -79,13 +82,18 @@
     return paths[0].handle
 
 
+def _die() -> None:
+    os.kill(os.getpid(), signal.SIGKILL)
+
+
 def _handler(arguments: dict[str, Any], nursery: trio.Nursery) -> Any:
     if arguments["platform"]:
         lag_ms = float(arguments["--host-list-lag-ms"])
         return PlatformStandin(MemoryObjectStore(), lag_ms).handle
     if arguments["engine"]:
         timing = EngineTiming(float(arguments["--step-ms"]), int(arguments["--slots"]))
-        engine = EngineStandin(timing)
+        marker = arguments["--crash-marker"]
+        engine = EngineStandin(timing, marker or "", _die if marker else None)
         nursery.start_soon(engine.run)
         return engine.handle
     return LedgerStandin(float(arguments["--work-ms"])).handle
--- a/poplarward/transport/http_client.py
+++ b/poplarward/transport/http_client.py
@@ -101,11 +101,9 @@
                 yield StreamedResponse(response)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise UpstreamUnreachable(str(error), sent=False) from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except httpcore.TimeoutException as error:
+            raise UpstreamUnreachable(str(error), sent=True, broke_off=False) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise UpstreamUnreachable(str(error), sent=True) from error
         finally:
             self._limit.release()
