Benchmark of requests that crash upstreams

Change: benchmarks/crashing_requests.py, eight engines that are back after 5 s, three entry hosts, 1 to 5 prompts that crash an engine in their first step, sent again each second; against no protection, and against refusing whatever ran in a first crash. Connections are sorted by peer and open streams kept in order, since sets of objects made runs of one seed differ.

--- /dev/null
+++ b/benchmarks/crashing_requests.py
@@ -0,0 +1,162 @@
+"""Measures upstreams lost to requests that crash them, in virtual time.
+
+Ours against no protection, and against refusing whatever ran in a first crash.
+
+Usage:
+  crashing_requests [--json] [--seed N] [--seconds S]
+  crashing_requests (-h | --help)
+
+Options:
+  --json       Print one JSON document; a table otherwise.
+  --seed N     Varies the load [default: 1].
+  --seconds S  How long requests are sent [default: 30].
+  -h --help    Show this text.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+import trio
+from docopt import docopt
+
+from benchmarks.crashing_path import MARKER, CrashingEngines, draft_until_answered
+from benchmarks.memory_path import MemoryPath, run_in_virtual_time
+from poplarward.requests.suspects import SuspectTable
+from poplarward.telemetry import configure_logs
+
+__all__ = ["main"]
+
+N_ENGINES = 8
+N_ENTRIES = 3
+N_CULPRITS = range(1, 6)
+N_SLOTS = 32
+STEP_MS = 20.0
+RESTART_MS = 5_000.0
+INNOCENTS_PER_S = 30.0
+TOKENS_RANGE = (20, 60)
+RESEND_PAUSE_MS = 1_000.0
+
+
+class RefuseAfterFirst(SuspectTable):
+    """Refuses whatever was on an upstream when it crashed."""
+
+    def suspect(self, digests: Iterable[int]) -> None:
+        """Have all of them refused."""
+        for digest in digests:
+            self.convict(digest)
+
+
+POLICIES = {
+    "none": lambda: SuspectTable(keep_ms=0),
+    "first crash": RefuseAfterFirst,
+    "ours": SuspectTable,
+}
+
+
+def main() -> None:
+    """Print the measurement."""
+    arguments = docopt(__doc__)
+    configure_logs("benchmark", "error")
+    seed, seconds = int(arguments["--seed"]), float(arguments["--seconds"])
+    results = [
+        {
+            "policy": policy,
+            "culprits": n_culprits,
+            "at_once": n_at_once,
+            **run_in_virtual_time(
+                seed, _run, policy, n_culprits, n_at_once, seed, seconds
+            ),
+        }
+        for n_at_once in (1, N_ENTRIES)
+        for n_culprits in N_CULPRITS
+        for policy in POLICIES
+    ]
+    if arguments["--json"]:
+        document = {"benchmark": "crashing_requests", "seed": seed, "seconds": seconds}
+        print(json.dumps({**document, "results": results}, indent=1))
+        return
+    for result in results:
+        print("  ".join(f"{name}={value}" for name, value in result.items()))
+
+
+async def _run(
+    policy: str, n_culprits: int, n_at_once: int, seed: int, seconds: float
+) -> dict[str, Any]:
+    rng = random.Random(seed)
+    make = POLICIES[policy]
+    innocents: Counter[str] = Counter()
+    culprits: Counter[str] = Counter()
+    async with trio.open_nursery() as nursery:
+        path = MemoryPath(nursery)
+        engines = CrashingEngines(path, RESTART_MS)
+        await engines.start(N_ENGINES, STEP_MS, N_SLOTS, suspects=make)
+        entries = [
+            await path.start_entry(f"entry-{n}", f"10.1.0.{n}", suspects=make())
+            for n in range(1, N_ENTRIES + 1)
+        ]
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as callers:
+                for number in range(n_culprits):
+                    callers.start_soon(
+                        _send_culprit, entries, number, n_at_once, rng, culprits
+                    )
+                callers.start_soon(_send_innocents, entries, rng, innocents, nursery)
+                await trio.sleep_forever()
+        # Those that are under way end.
+        await trio.sleep(seconds)
+        nursery.cancel_scope.cancel()
+    return {
+        "engines_lost": engines.n_crashes,
+        "culprits_refused": culprits["refused"],
+        "innocents": sum(innocents.values()),
+        "whole": innocents["whole"],
+        "refused": innocents["refused"],
+        "failed": innocents["failed"],
+        "wrong": innocents["wrong"],
+    }
+
+
+async def _send_innocents(
+    entries: list[Any],
+    rng: random.Random,
+    outcomes: Counter[str],
+    nursery: trio.Nursery,
+) -> None:
+    while True:
+        await trio.sleep(rng.expovariate(INNOCENTS_PER_S))
+        nursery.start_soon(
+            draft_until_answered,
+            [rng.choice(entries)],
+            f"A quiet dog ({rng.random()}).",
+            outcomes,
+            1,
+            0.0,
+            rng.randint(*TOKENS_RANGE),
+        )
+
+
+async def _send_culprit(
+    entries: list[Any],
+    number: int,
+    n_at_once: int,
+    rng: random.Random,
+    outcomes: Counter[str],
+) -> None:
+    """Send one prompt at some entry hosts at once, and again after each failure."""
+    await trio.sleep(1 + rng.random())
+    prompt = f"A grey cat, {MARKER} ({number})."
+    async with trio.open_nursery() as callers:
+        for first in range(n_at_once):
+            order = entries[first:] + entries[:first]
+            callers.start_soon(
+                draft_until_answered, order, prompt, outcomes, 1_000, RESEND_PAUSE_MS
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/memory_path.py
+++ b/benchmarks/memory_path.py
@@ -65,7 +65,7 @@
         self.bodies = []
         self._nursery = nursery
         self._handler = handler
-        self._open = set()
+        self._open = {}
 
     def crash(self) -> None:
         """Break off whatever runs and refuse new calls."""
@@ -93,13 +93,13 @@
         self.bodies.append(body)
         send, receive = trio.open_memory_channel(math.inf)
         left = trio.Event()
-        self._open.add(send)
+        self._open[send] = True
         self._nursery.start_soon(self._serve, method, path, body, send, left)
         try:
             yield await _MemoryResponse.begin(receive)
         finally:
             left.set()
-            self._open.discard(send)
+            del self._open[send]
 
     async def _serve(self, method, path, body, send, left):
         events = [{"type": "http.request", "body": body}]
--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -253,9 +253,10 @@
         return sum(link.connection is not None for link in self._links.values())
 
     def open_connections(self) -> list[Connection]:
-        """Return every open connection, whoever opened it."""
+        """Return every open connection, whoever opened it, ordered by peer."""
         links = [link.connection for link in self._links.values()]
-        return [*self.accepted, *(c for c in links if c is not None)]
+        found = [*self.accepted, *(c for c in links if c is not None)]
+        return sorted(found, key=lambda connection: connection.identity)
 
     def open_connection(self, address: Address) -> Connection | None:
         """Return the open connection to an address, None if there is none."""
