--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -15,6 +15,7 @@
     map_role,
 )
 from ..coordination.expert_maps import GroupHost
+from ..coordination.group_agents import register_group_agents
 from ..coordination.group_set import GroupSet
 from ..coordination.membership import MemberState
 from ..operations import (
@@ -32,6 +33,7 @@
     Gateway,
     Relay,
     Router,
+    UpstreamPools,
     WorkspaceLimits,
     named_addresses,
 )
@@ -40,7 +42,7 @@
 from ..telemetry import GroupMetrics, RequestMetrics, get_logger
 from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import EntrySettings, peers_network, tls_files
+from .settings import EntrySettings, peers_network, platform_access, tls_files
 from .startup import watch_signals
 
 __all__ = ["EntryHost"]
@@ -80,16 +82,22 @@
             address=Address.parse(settings["peers_listen"]),
             data_centre=settings["data_centre"],
         )
-        self.store = HttpObjectStore(settings["platform_url"])
+        access = platform_access(settings)
+        self.store = HttpObjectStore(settings["platform_url"], access)
         self.writer = Writer(self.store, identity.start_id)
-        self.hosts = HostList(settings["platform_url"])
+        self.hosts = HostList(settings["platform_url"], access)
         self.view = ConfigurationView()
         self.peers = Peers(peers_network(settings), identity, settings["peer_secret"])
         presence = Presence(self.peers, settings["callers_listen"])
         self.membership = Membership(
-            self.peers, presence, self.hosts.hosts_now, seed=identity.start_id
+            self.peers,
+            presence,
+            self.hosts.hosts_now,
+            seed=identity.start_id,
+            n_list_reads=lambda: self.hosts.n_reads,
         )
         self.membership.on_change.append(self._note_member_change)
+        register_group_agents(self.peers, self.hosts.hosts_now)
         self.roles = ControlRoles(
             self.store,
             self.writer,
@@ -113,14 +121,16 @@
 
     def _make_requests(self) -> None:
         agents = AgentTable(self.peers)
+        pools = UpstreamPools(self.view)
         router = Router(
             agents,
             leaving=self._agents_to_avoid,
+            pool_of=pools.of_upstream,
             data_centre=self._settings["data_centre"],
             far_cost_requests=self._settings.get("far_cost_requests", 0.0),
         )
         self.connections = AgentConnections(
-            self.peers, agents, lambda: self.hosts.hosts.values()
+            self.peers, agents, lambda: self.hosts.hosts.values(), pools
         )
         self.limits = WorkspaceLimits(
             self.peers,
