--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -14,7 +14,7 @@
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
 from ..requests.payments import Payments
-from ..state import ConfigurationView, HttpObjectStore
+from ..state import ConfigurationView, HttpObjectStore, drained_hosts
 from ..telemetry import get_logger
 from ..transport import Address, HttpClient, asgi_application, serve_http
 from .monitoring import Monitoring
@@ -82,7 +82,12 @@
             payments = Payments(
                 self.store, identity, self.upstream.name, identity.start_id
             )
-        return Executor(self.peers, self.upstream, payments=payments)
+        return Executor(
+            self.peers,
+            self.upstream,
+            payments=payments,
+            is_stopping=lambda: identity.name in drained_hosts(self.view),
+        )
 
     def _make_maps(self, ranks: list[int]) -> None:
         group = self.upstream.name
--- a/poplarward/protocol/requests.py
+++ b/poplarward/protocol/requests.py
@@ -50,6 +50,7 @@
     """Why an attempt ended without an upstream's answer."""
 
     NONE = ""
+    CRASHES_UPSTREAMS = "crashes-upstreams"
     DEADLINE = "deadline"
     KEY_CONFLICT = "key-conflict"
     KEY_FULL = "key-full"
@@ -80,6 +81,10 @@
         Tokens that the request is expected to take.
     n_prompt_tokens : int
         Those of them that are its prompt; 0 for plain services.
+    is_suspect : bool
+        Whether it was on an upstream that crashed.
+    pool : str
+        Pool of the upstreams that may run it.
     """
 
     request_id: RequestId
@@ -96,6 +101,8 @@
     share: float = 1.0
     n_tokens: int = 1
     n_prompt_tokens: int = 0
+    is_suspect: bool = False
+    pool: str = ""
 
 
 @message(11)
