--- a/tests/requests/suspects/test_crashing_requests.py
+++ b/tests/requests/suspects/test_crashing_requests.py
@@ -10,7 +10,10 @@
 from benchmarks.crashing_path import MARKER, CrashingEngines, draft_until_answered
 from benchmarks.memory_path import Caller, MemoryPath, MemoryUpstream, draft, payment
 from poplarward.errors import UpstreamUnreachable
+from poplarward.protocol import RequestId
+from poplarward.protocol.requests import Submit
 from poplarward.protocol.suspects import Suspicions, Verdict
+from poplarward.requests.in_hand import AttemptInHand
 from poplarward.requests.suspects import SuspectTable, request_digest
 from poplarward.requests.suspects.table import KEEP_MS
 from poplarward.standins.engine import completion_words
@@ -296,3 +299,21 @@
     second.merge(late.entries)
     assert second.verdict(7) is Verdict.CLEARED
     nursery.cancel_scope.cancel()
+
+
+def test_agents_of_all_groups_of_a_pool_name_a_request_alike():
+    request = draft(CULPRIT)
+    submit = Submit(
+        RequestId("entry-1", 1, 1),
+        request.workspace,
+        request.priority_class,
+        request.method,
+        request.path,
+        request.headers,
+        request.body,
+        1000,
+        True,
+        pool=request.upstream,
+    )
+    attempt = AttemptInHand(submit, connection=None, packer=None)
+    assert attempt.digest() == digest_of(request)
