Pack the counts of experts into one byte each

Cause: the leader of a 256-rank group receives 928 counts from each of 32 hosts every 4 s, as lists of CBOR integers: 17.7 KB/s for counts below 120, 25.9 KB/s for counts below 3,000, against 22 KB/s for all control of a host.

Change: levels 5% apart, exact up to 20, one byte each; GetExpertCounts says whether the sender takes packed counts, so releases one apart understand each other (tested).

Before and after: 2,209 and 3,240 bytes a host -> 993, so 7.9 KB/s at the leader.

Conclusion: the leader's bytes fit.

--- a/poplarward/coordination/expert_maps/reports.py
+++ b/poplarward/coordination/expert_maps/reports.py
@@ -25,7 +25,8 @@
         connection: Connection, request: GetExpertCounts
     ) -> ExpertCounts:
         status = await engine.status()
-        return ExpertCounts(status.step, status.active, await engine.counts())
+        counts = ExpertCounts(status.step, status.active, await engine.counts())
+        return counts.in_brief() if request.takes_packed else counts
 
     peers.register(GetMap, on_get_map)
     peers.register(GetExpertCounts, on_get_counts)
--- a/poplarward/protocol/expert_maps.py
+++ b/poplarward/protocol/expert_maps.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from .codec import message
+from .expert_counts import pack_counts, unpack_counts
 
 __all__ = [
     "AskVote",
@@ -223,15 +224,52 @@
 
 @message(210)
 class GetExpertCounts:
-    """Asks a host for the counts of its ranks since it was last asked."""
+    """Asks a host for the counts of its ranks since it was last asked.
+
+    Attributes
+    ----------
+    takes_packed : bool
+        Whether the sender understands counts that are packed.
+    """
 
     group: str
+    takes_packed: bool = False
 
 
 @message(211)
 class ExpertCounts:
-    """Mean counts of a host's ranks, for the steps up to ``step`` on one map."""
+    """Mean counts of a host's ranks, for the steps up to ``step`` on one map.
+
+    Attributes
+    ----------
+    n_slots : int
+        Slots of a rank and layer, if the counts are packed.
+    packed : bytes
+        Tokens of all ranks, see `pack_counts`; each rank's own are empty then.
+    """
 
     step: int
     map_id: MapId
     ranks: list[RankCounts]
+    n_slots: int = 0
+    packed: bytes = b""
+
+    def in_full(self) -> list[RankCounts]:
+        """Return the counts with the tokens of each rank; raises `DecodeError`."""
+        if not self.packed:
+            return self.ranks
+        tokens = unpack_counts(self.packed, len(self.ranks), self.n_slots)
+        return [
+            counts._replace(tokens=found)
+            for counts, found in zip(self.ranks, tokens, strict=True)
+        ]
+
+    def in_brief(self) -> ExpertCounts:
+        """Return the same counts, packed if all ranks have the same slots."""
+        sizes = {len(slots) for counts in self.ranks for slots in counts.tokens}
+        n_layers = {len(counts.tokens) for counts in self.ranks}
+        if len(sizes) != 1 or len(n_layers) != 1:
+            return self
+        ranks = [counts._replace(tokens=[]) for counts in self.ranks]
+        packed = pack_counts(counts.tokens for counts in self.ranks)
+        return ExpertCounts(self.step, self.map_id, ranks, sizes.pop(), packed)
--- /dev/null
+++ b/tests/protocol/test_expert_counts.py
@@ -0,0 +1,69 @@
+"""Packed counts are near the true ones, and older releases get them in full."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from poplarward.errors import DecodeError
+from poplarward.protocol.codec import decode, encode, from_array, to_array
+from poplarward.protocol.expert_counts import pack_counts, unpack_counts
+from poplarward.protocol.expert_maps import (
+    ExpertCounts,
+    GetExpertCounts,
+    MapId,
+    RankCounts,
+)
+
+MAP_ID = MapId(1, 1, 1)
+
+
+@given(st.integers(0, 1_000_000))
+def test_error_is_bounded(n):
+    [[[found]]] = unpack_counts(pack_counts([[[n]]]), 1, 1)
+    assert abs(found - n) <= max(1, 0.026 * n) and (n > 20 or found == n)
+
+
+@given(st.integers(1, 4), st.integers(1, 5), st.integers(1, 3))
+def test_counts_come_back_in_their_places(n_ranks, n_layers, n_slots):
+    tokens = [
+        [[(r * n_layers + i) % 20 + s for s in range(n_slots)] for i in range(n_layers)]
+        for r in range(n_ranks)
+    ]
+    ranks = [RankCounts(r, 5, layers) for r, layers in enumerate(tokens)]
+    sent = ExpertCounts(7, MAP_ID, ranks).in_brief()
+    received = decode(encode(sent))
+    assert received.in_full() == ranks
+    assert received.step == 7
+
+
+def test_ranks_of_different_sizes_are_not_packed():
+    ranks = [RankCounts(0, 5, [[1, 2]]), RankCounts(1, 5, [[1]])]
+    counts = ExpertCounts(7, MAP_ID, ranks)
+    assert counts.in_brief() == counts
+    assert ExpertCounts(7, MAP_ID, []).in_brief().in_full() == []
+
+
+def test_older_release_is_answered_in_full():
+    array = to_array(GetExpertCounts("group", takes_packed=True))
+    assert not from_array(array[:2]).takes_packed
+    ranks = [RankCounts(0, 5, [[1, 2]])]
+    older = to_array(ExpertCounts(7, MAP_ID, ranks))[:4]
+    assert from_array(older).in_full() == ranks
+
+
+def test_cut_off_counts_are_refused():
+    ranks = [RankCounts(r, 5, [[1, 2], [3, 4]]) for r in range(2)]
+    brief = ExpertCounts(7, MAP_ID, ranks).in_brief()
+    cut = dataclasses.replace(brief, packed=brief.packed[:-1])
+    with pytest.raises(DecodeError):
+        cut.in_full()
+
+
+def test_host_of_eight_ranks_takes_half_of_its_bytes():
+    ranks = [RankCounts(r, 40_000, [[97, 300]] * 58) for r in range(8)]
+    counts = ExpertCounts(100_000, MAP_ID, ranks)
+    assert len(encode(counts.in_brief())) < len(encode(counts)) / 2
