Let agents act on the leaving of their own hosts

Cause: only entry hosts acted on a drain or on the platform's list. An entry host that had not heard of it went on sending work, and what waited for a slot at the agent started there however long after. An agent without a configuration took work, though it can't know whether it is drained.

Ruled out: reading the platform's list in agents (its load would grow with them) and a message of its own: the probes that each agent answers carry the state already, and its copy of the configuration names the drained hosts.

Change: the executor asks for its host's standing. While that is leaving, new attempts end as NOT_RUN, those that wait for a slot are handed back (calls with a key are not: their key may belong to this agent alone), and what runs is finished. Only a refusal because of leaving is marked so; one because the upstream is down is not.

Deployment.restart waited for an event that an earlier start had logged; it now waits for a new one.

--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -200,8 +200,11 @@
         path.write_text(json.dumps(settings), encoding="utf-8")
         host = settings["peers_listen"].partition(":")[0]
         command = [f"poplarward.programs.{role}", str(path)]
+        event = f"{role}.started"
+        # The log goes on after that of the earlier starts.
+        n_before = _n_logged(Path(self._directory.name) / f"{name}.log", event)
         process = self.start_process(name, host, command)
-        await self.wait_for_event(process, f"{role}.started")
+        await self.wait_for_event(process, event, n_before + 1)
         return process
 
     async def list_host(self, name: str, state: str = "live") -> None:
@@ -228,7 +231,7 @@
     ) -> None:
         """Wait until the process has logged an event; fails if it ends before."""
         with trio.fail_after(START_TIMEOUT_S):
-            while process.log.read_text().count(f"event={event} ") < n_times:
+            while _n_logged(process.log, event) < n_times:
                 if process.popen.poll() is not None:
                     raise RuntimeError(f"{process.name}:\n{process.log.read_text()}")
                 await trio.sleep(0.02)
@@ -261,6 +264,10 @@
         return (await self.operate(entry, "Apply", request, pb.ApplyResponse)).resource
 
 
+def _n_logged(log: Path, event: str) -> int:
+    return log.read_text().count(f"event={event} ") if log.exists() else 0
+
+
 def workspace(name: str, token: str, share: float = 1.0) -> pb.Resource:
     """Return a workspace whose callers show one token."""
     digest = hashlib.sha256(token.encode()).hexdigest()
--- a/benchmarks/memory_path.py
+++ b/benchmarks/memory_path.py
@@ -195,13 +195,14 @@
         return Peers(self.network.host(host), identity, "s")
 
     async def start_agent(
-        self, name, host, kind, upstream, client, n_slots=8, payments=None
+        self, name, host, kind, upstream, client, n_slots=8, payments=None, **options
     ):
         """Start an agent, or a new start of it; returns its executor and scope."""
         peers = self._peers("agent", name, host)
         settings = UpstreamSettings(UpstreamKind(kind), upstream, "", n_slots)
-        extra = {} if payments is None else {"payments": payments(peers.identity)}
-        executor = Executor(peers, settings, client, **extra)
+        if payments is not None:
+            options["payments"] = payments(peers.identity)
+        executor = Executor(peers, settings, client, **options)
         scope = await self.nursery.start(self._run_agent, executor, peers)
         self.agents[name] = executor
         self.addresses[name] = peers.identity.address
--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -14,7 +14,7 @@
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
 from ..requests.payments import Payments
-from ..state import ConfigurationView, HttpObjectStore
+from ..state import ConfigurationView, HttpObjectStore, drained_hosts
 from ..telemetry import get_logger
 from ..transport import Address, HttpClient, asgi_application, serve_http
 from .monitoring import Monitoring
@@ -81,7 +81,9 @@
             payments = Payments(
                 self.store, identity, self.upstream.name, identity.start_id
             )
-        return Executor(self.peers, self.upstream, payments=payments)
+        return Executor(
+            self.peers, self.upstream, payments=payments, standing=self.standing
+        )
 
     def _make_maps(self, ranks: list[int]) -> None:
         group = self.upstream.name
@@ -134,6 +136,19 @@
         await self.peers.close()
         await self.executor.close()
 
+    def standing(self) -> UpstreamState:
+        """Return whether this host may take new work.
+
+        An agent that has no configuration yet can't know whether its host is drained,
+        so it takes none.
+        """
+        if self.presence.is_leaving or self._settings["name"] in drained_hosts(
+            self.view
+        ):
+            return UpstreamState.LEAVING
+        is_ready = self.configuration.ready.is_set()
+        return UpstreamState.LIVE if is_ready else UpstreamState.DOWN
+
     def missing(self) -> list[str]:
         """Return what keeps the agent from taking work, in words."""
         missing = []
--- a/poplarward/requests/ends.py
+++ b/poplarward/requests/ends.py
@@ -20,7 +20,7 @@
         Outcome.NOT_RUN,
         submit.n_pieces_received,
         f"agent is {state}",
-        refusal=Refusal.LEAVING,
+        refusal=Refusal.LEAVING if state is UpstreamState.LEAVING else Refusal.NONE,
     )
 
 
@@ -43,7 +43,7 @@
         Outcome.NOT_RUN,
         attempt.n_pieces,
         "stopped before its start",
-        refusal=Refusal.NONE if attempt.barred else Refusal.DEADLINE,
+        refusal=attempt.refusal if attempt.barred else Refusal.DEADLINE,
     )
     if attempt.started:
         reason = "stopped while it ran"
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from ..protocol import Connection, Peers, RequestId
@@ -33,6 +35,7 @@
 __all__ = ["Executor"]
 
 DRAIN_POLL_MS = 50.0
+LEAVING_POLL_MS = 100.0
 FLUSH_TIMEOUT_MS = 5_000.0
 
 log = get_logger("executor")
@@ -51,6 +54,9 @@
         Replaces the HTTP client in tests.
     payments : Payments, optional
         Lets the calls of each idempotency key run at most once.
+    standing : callable, optional
+        Returns whether the agent's host may take new work, for reasons outside of
+        the executor.
     """
 
     def __init__(
@@ -59,8 +65,10 @@
         settings: UpstreamSettings,
         client: UpstreamClient | None = None,
         payments: Payments | None = None,
+        standing: Callable[[], UpstreamState] = lambda: UpstreamState.LIVE,
     ):
         self._is_leaving = False
+        self._standing = standing
         self._health = UpstreamHealth()
         self._peers = peers
         self._settings = settings
@@ -91,6 +99,9 @@
         """Whether new attempts are taken."""
         if self._is_leaving:
             return UpstreamState.LEAVING
+        standing = self._standing()
+        if standing is not UpstreamState.LIVE:
+            return standing
         is_down = self._health.is_down(trio.current_time() * 1000)
         return UpstreamState.DOWN if is_down else UpstreamState.LIVE
 
@@ -105,6 +116,7 @@
         if self._payments is not None:
             await self._payments.start(nursery)
         nursery.start_soon(self._reporter.run)
+        nursery.start_soon(self._hand_back_while_leaving)
 
     async def close(self) -> None:
         """Close the connections to the upstream."""
@@ -113,12 +125,25 @@
     async def drain(self) -> None:
         """Take no new attempts and return when those in hand have ended."""
         self._is_leaving = True
+        self._hand_back()
         await self._reporter.report_now()
         while self._attempts:
             await trio.sleep(DRAIN_POLL_MS / 1000)
         if self._payments and not await self._payments.flush(FLUSH_TIMEOUT_MS):
             log.warning("drain.unflushed", upstream=self._settings.name)
 
+    async def _hand_back_while_leaving(self) -> None:
+        while True:
+            if self.state is UpstreamState.LEAVING:
+                self._hand_back()
+            await trio.sleep(LEAVING_POLL_MS / 1000)
+
+    def _hand_back(self) -> None:
+        """End what waits for a slot, but for calls that only this agent may run."""
+        for attempt in list(self._attempts.values()):
+            if not attempt.started and not attempt.is_keyed:
+                attempt.hand_back()
+
     async def _on_submit(self, connection: Connection, submit: Submit) -> None:
         assert self._nursery is not None
         request_id = submit.request_id
--- a/poplarward/requests/in_hand.py
+++ b/poplarward/requests/in_hand.py
@@ -5,7 +5,7 @@
 import trio
 
 from ..protocol import Connection
-from ..protocol.requests import Head, Submit
+from ..protocol.requests import Head, Refusal, Submit
 from .packing import PiecePacker
 
 __all__ = ["AttemptInHand"]
@@ -20,6 +20,8 @@
         Whether the upstream may have received it.
     barred : bool
         Whether it was promised that it never starts.
+    refusal : Refusal
+        Why the agent ended it, if it did.
     """
 
     def __init__(self, submit: Submit, connection: Connection, packer: PiecePacker):
@@ -30,6 +32,7 @@
         self.ended = trio.Event()
         self.started = False
         self.barred = False
+        self.refusal = Refusal.NONE
         self.n_pieces = submit.n_pieces_received
         self.head: Head | None = None
         self.body: list[bytes] = []
@@ -44,6 +47,11 @@
         """Whether the upstream has begun its answer."""
         return self.n_pieces > self.submit.n_pieces_received
 
+    def hand_back(self) -> None:
+        """Stop it, so that the entry host runs it at another agent."""
+        self.refusal = Refusal.LEAVING
+        self.stop()
+
     def stop(self) -> None:
         """Stop it, unless it is running and may not be repeated."""
         if not self.started:
--- a/poplarward/standins/engine.py
+++ b/poplarward/standins/engine.py
@@ -51,6 +51,8 @@
     ----------
     n_running, n_waiting : int
         Requests in a slot, and waiting for one.
+    n_requests : int
+        Requests received since the start.
     n_tokens_made : int
         Tokens generated since the start.
     """
@@ -59,6 +61,7 @@
         self.timing = timing or EngineTiming()
         self.n_running = 0
         self.n_waiting = 0
+        self.n_requests = 0
         self.n_tokens_made = 0
         self._slots = trio.Semaphore(self.timing.n_slots)
         self._stepped = trio.Event()
@@ -85,10 +88,12 @@
             "n_running": self.n_running,
             "n_waiting": self.n_waiting,
             "n_slots": self.timing.n_slots,
+            "n_requests": self.n_requests,
             "n_tokens_made": self.n_tokens_made,
         }
 
     async def _complete(self, request: HttpRequest, responder: Responder) -> None:
+        self.n_requests += 1
         document = json.loads(await request.body(MAX_BODY_BYTES))
         n_tokens = int(document.get("max_tokens", 16))
         first = int(document.get("resume_after", 0))
