--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -83,10 +83,7 @@
                 self.store, identity, self.upstream.name, identity.start_id
             )
         return Executor(
-            self.peers,
-            self.upstream,
-            payments=payments,
-            is_stopping=lambda: identity.name in drained_hosts(self.view),
+            self.peers, self.upstream, payments=payments, standing=self.standing
         )
 
     def _make_maps(self, ranks: list[int]) -> None:
@@ -140,6 +137,19 @@
         await self.peers.close()
         await self.executor.close()
 
+    def standing(self) -> UpstreamState:
+        """Return whether this host may take new work.
+
+        An agent that has no configuration yet can't know whether its host is drained,
+        so it takes none.
+        """
+        if self.presence.is_leaving or self._settings["name"] in drained_hosts(
+            self.view
+        ):
+            return UpstreamState.LEAVING
+        is_ready = self.configuration.ready.is_set()
+        return UpstreamState.LIVE if is_ready else UpstreamState.DOWN
+
     def missing(self) -> list[str]:
         """Return what keeps the agent from taking work, in words."""
         missing = []
--- a/poplarward/requests/in_hand.py
+++ b/poplarward/requests/in_hand.py
@@ -5,7 +5,7 @@
 import trio
 
 from ..protocol import Connection
-from ..protocol.requests import Head, Submit
+from ..protocol.requests import Head, Refusal, Submit
 from .packing import PiecePacker
 from .suspects import Turn, request_digest
 
@@ -25,6 +25,8 @@
         Whether the upstream crashed while it ran.
     turn : Turn, optional
         Its turn among the suspects.
+    refusal : Refusal
+        Why the agent ended it, if it did.
     """
 
     def __init__(self, submit: Submit, connection: Connection, packer: PiecePacker):
@@ -37,6 +39,7 @@
         self.barred = False
         self.has_crashed = False
         self.turn: Turn | None = None
+        self.refusal = Refusal.NONE
         self.n_pieces = submit.n_pieces_received
         self.head: Head | None = None
         self.body: list[bytes] = []
@@ -58,6 +61,11 @@
             submit.pool, submit.workspace, submit.method, submit.path, submit.body
         )
 
+    def hand_back(self) -> None:
+        """Stop it, so that the entry host runs it at another agent."""
+        self.refusal = Refusal.LEAVING
+        self.stop()
+
     def stop(self) -> None:
         """Stop it, unless it is running and may not be repeated."""
         if not self.started:
