--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -17,7 +17,6 @@
 from ..coordination.expert_maps import GroupHost
 from ..coordination.group_agents import register_group_agents
 from ..coordination.group_set import GroupSet
-from ..coordination.membership import MemberState
 from ..operations import (
     DeploymentStatus,
     OperationsService,
@@ -31,9 +30,9 @@
     AgentTable,
     AttemptLoop,
     Gateway,
-    PrefillTurns,
     Relay,
     Router,
+    UpstreamPools,
     WorkspaceLimits,
     named_addresses,
 )
@@ -121,27 +120,27 @@
 
     def _make_requests(self) -> None:
         agents = AgentTable(self.peers)
-        turns = PrefillTurns()
-        self.hosts.on_change.append(lambda: turns.take_hosts(self.hosts.hosts_now()))
+        pools = UpstreamPools(self.view)
         router = Router(
             agents,
             leaving=self._agents_to_avoid,
+            pools=pools,
             data_centre=self._settings["data_centre"],
             far_cost_requests=self._settings.get("far_cost_requests", 0.0),
-            turns=turns,
         )
         self.connections = AgentConnections(
-            self.peers, agents, lambda: self.hosts.hosts.values()
+            self.peers, agents, lambda: self.hosts.hosts.values(), pools
         )
         self.limits = WorkspaceLimits(
             self.peers,
             self.view,
             lambda: [member.identity for member in self.membership.live("entry")],
         )
+        self.attempts = AttemptLoop(self.peers, Relay(self.peers), router)
         self.gateway = Gateway(
             self.view,
             Admission(limits=self.limits),
-            AttemptLoop(self.peers, Relay(self.peers), router),
+            self.attempts,
             self._addresses_to_name,
             self.metrics,
         )
@@ -181,6 +180,7 @@
         await self.configuration.start(nursery)
         await self.roles.start(nursery)
         await self.limits.start(nursery)
+        await self.attempts.start(nursery)
         nursery.start_soon(self.connections.run)
         nursery.start_soon(self._disconnect_gone_agents)
         if "metrics_listen" in self._settings:
@@ -245,11 +245,7 @@
         while True:
             await self._member_changed.wait()
             self._member_changed = trio.Event()
-            now_gone = {
-                member.identity.name
-                for member in self.membership.members("agent")
-                if member.state is MemberState.GONE
-            }
+            now_gone = self.membership.gone("agent")
             for name in now_gone - gone:
                 await self.peers.disconnect(name)
             gone = now_gone
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -11,6 +11,7 @@
 from .execution import Executor
 from .gateway import Gateway
 from .limits import WorkspaceLimits
+from .pools import UpstreamPools
 from .relay import Relay
 from .routing import (
     AgentConnections,
@@ -32,6 +33,7 @@
     "PrefillTurns",
     "Relay",
     "Router",
+    "UpstreamPools",
     "UpstreamSettings",
     "WorkspaceLimits",
     "named_addresses",
--- a/poplarward/requests/ends.py
+++ b/poplarward/requests/ends.py
@@ -10,7 +10,16 @@
 from .in_hand import AttemptInHand
 from .payments import Record
 
-__all__ = ["cut_short", "overloaded", "refused_by_state", "replay"]
+__all__ = [
+    "CRASH_REASON",
+    "crash_refused",
+    "cut_short",
+    "overloaded",
+    "refused_by_state",
+    "replay",
+]
+
+CRASH_REASON = "the request has crashed upstreams and is refused for a while"
 
 
 def refused_by_state(submit: Submit, state: UpstreamState) -> End:
@@ -20,7 +29,19 @@
         Outcome.NOT_RUN,
         submit.n_pieces_received,
         f"agent is {state}",
-        refusal=Refusal.LEAVING,
+        refusal=Refusal.LEAVING if state is UpstreamState.LEAVING else Refusal.NONE,
+    )
+
+
+def crash_refused(submit: Submit, left_ms: int) -> End:
+    """Return the end of an attempt of a request that crashes upstreams."""
+    return End(
+        submit.request_id,
+        Outcome.NOT_RUN,
+        submit.n_pieces_received,
+        CRASH_REASON,
+        left_ms,
+        Refusal.CRASHES_UPSTREAMS,
     )
 
 
@@ -43,7 +64,7 @@
         Outcome.NOT_RUN,
         attempt.n_pieces,
         "stopped before its start",
-        refusal=Refusal.NONE if attempt.barred else Refusal.DEADLINE,
+        refusal=attempt.refusal if attempt.barred else Refusal.DEADLINE,
     )
     if attempt.started:
         reason = "stopped while it ran"
--- a/poplarward/requests/routing/affinity.py
+++ b/poplarward/requests/routing/affinity.py
@@ -35,8 +35,8 @@
 
     Examples
     --------
-    >>> len(prefix_homes("9f", ["agent-1", "agent-2", "agent-3"]))
-    2
+    >>> len(prefix_homes("9f", [f"agent-{i}" for i in range(9)]))
+    4
     >>> prefix_homes("", ["agent-1"])
     ()
     """
