--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -13,6 +13,7 @@
 from ..protocol.identity import new_start_id
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
+from ..requests.kv_admission import HEADROOM_SHARE
 from ..requests.payments import Payments
 from ..state import ConfigurationView, HttpObjectStore, drained_hosts
 from ..telemetry import get_logger
@@ -61,6 +62,7 @@
             section["n_slots"],
             upstream_access(section),
             section.get("kv_limit_tokens", 0),
+            section.get("kv_headroom_share", HEADROOM_SHARE),
         )
         self.peers = Peers(peers_network(settings), identity, settings["peer_secret"])
         self.store = HttpObjectStore(
--- a/poplarward/programs/settings.py
+++ b/poplarward/programs/settings.py
@@ -4,9 +4,9 @@
 
 import json
 from pathlib import Path
-from typing import Any, Literal, NotRequired, TypeVar
+from typing import Annotated, Any, Literal, NotRequired, TypeVar
 
-from pydantic import TypeAdapter, ValidationError, with_config
+from pydantic import Field, TypeAdapter, ValidationError, with_config
 from typing_extensions import TypedDict
 
 from ..errors import Finding, FindingsError
@@ -83,13 +83,15 @@
     ``ranks`` numbers the ranks of its model group that an engine's host runs; without
     them the host takes no part in changes of the expert map. ``kv_limit_tokens`` is
     what an engine's memory holds; without it only slots bound what is admitted.
+    ``kv_headroom_share`` is the part of it that is kept free at an admission.
     """
 
     kind: Literal["engine", "plain"]
     name: str
     url: str
     n_slots: int
-    kv_limit_tokens: NotRequired[int]
+    kv_limit_tokens: NotRequired[Annotated[int, Field(ge=0)]]
+    kv_headroom_share: NotRequired[Annotated[float, Field(ge=0.0, lt=1.0)]]
     ranks: NotRequired[list[int]]
     tls: NotRequired[ClientTlsSettings]
     token: NotRequired[str]
--- a/poplarward/requests/kv_admission.py
+++ b/poplarward/requests/kv_admission.py
@@ -10,7 +10,7 @@
 
 __all__ = ["HEADROOM_SHARE", "KvMemory", "KvShare"]
 
-HEADROOM_SHARE = 0.15
+HEADROOM_SHARE = 0.2
 
 
 class KvMemory:
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -53,7 +53,8 @@
         payments: Payments | None = None,
     ):
         self._upstream = upstream
-        memory = KvMemory(upstream.settings.kv_limit_tokens)
+        settings = upstream.settings
+        memory = KvMemory(settings.kv_limit_tokens, settings.kv_headroom_share)
         self._slots = FairSlots(n_slots, memory)
         self._health = health
         self._refused = refused
--- a/poplarward/requests/upstream.py
+++ b/poplarward/requests/upstream.py
@@ -11,6 +11,7 @@
 from ..protocol.reports import UpstreamKind
 from ..protocol.requests import PriorityClass, Submit
 from ..transport import HttpAccess, HttpClient
+from .kv_admission import HEADROOM_SHARE
 
 __all__ = [
     "DONE_EVENT",
@@ -43,6 +44,8 @@
         What it asks of its clients.
     kv_limit_tokens : int
         Tokens that an engine's memory holds; 0 for no limit.
+    kv_headroom_share : float
+        Part of them that is kept free when a stream is admitted.
     """
 
     kind: UpstreamKind
@@ -51,6 +54,7 @@
     n_slots: int
     access: HttpAccess = HttpAccess()
     kv_limit_tokens: int = 0
+    kv_headroom_share: float = HEADROOM_SHARE
 
 
 class UpstreamClient(Protocol):
--- a/tests/programs/test_settings.py
+++ b/tests/programs/test_settings.py
@@ -10,7 +10,11 @@
 
 from poplarward.errors import FindingsError
 from poplarward.programs import agent, entry
-from poplarward.programs.settings import EntrySettings, read_settings
+from poplarward.programs.settings import (
+    AgentSettings,
+    EntrySettings,
+    read_settings,
+)
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
 ENTRY_EXAMPLE = EXAMPLES / "armor" / "entry-rennes-1.json"
@@ -88,3 +92,19 @@
     assert places_found(tmp_path, platform_url="ftp://10.0.0.1:70") == {
         "platform_url": "'ftp://10.0.0.1:70'"
     }
+
+
+def test_kv_memory_of_an_engine_is_checked(tmp_path):
+    path = next(EXAMPLES.glob("armor/agent-*.json"))
+    settings = json.loads(path.read_text())
+    changed = tmp_path / "settings.json"
+    settings["upstream"] |= {"kv_limit_tokens": 65_536, "kv_headroom_share": 0.1}
+    changed.write_text(json.dumps(settings))
+    section = read_settings(str(changed), AgentSettings)["upstream"]
+    assert section["kv_limit_tokens"] == 65_536
+    settings["upstream"] |= {"kv_limit_tokens": -1, "kv_headroom_share": 1.0}
+    changed.write_text(json.dumps(settings))
+    with pytest.raises(FindingsError) as caught:
+        read_settings(str(changed), AgentSettings)
+    places = {found.place.rpartition(".")[2] for found in caught.value.findings}
+    assert places == {"kv_limit_tokens", "kv_headroom_share"}
