Close journals of payments by segments that are never changed

Ruled out: an object an hour and partition that stays open for updates (two objects would decide on one key, and a paused owner could write into the former one); one record a key (two writes a payment).

An agent keeps eight bytes a key of closed segments and reads a segment when a key is asked for again.

Payments' tests pass, the state machine also with segments closed at every update on two partitions.

--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -19,6 +19,7 @@
     "EngineUnreachable",
     "Finding",
     "FindingsError",
+    "FormatUnsupported",
     "NotFound",
     "PeerTimeout",
     "PeerUnreachable",
@@ -61,6 +62,10 @@
     """An engine gave no usable answer; it may have carried out the order."""
 
 
+class FormatUnsupported(PoplarwardError):
+    """An object of the store has a format that this release can't read."""
+
+
 class PeerUnreachable(PoplarwardError):
     """No connection to a peer could be opened, or it was lost."""
 
--- a/poplarward/requests/payments/journal.py
+++ b/poplarward/requests/payments/journal.py
@@ -1,4 +1,10 @@
-"""Journal of one partition: what is known of the calls of its keys."""
+"""Journal of one partition: what is known of the calls of its keys.
+
+The journal's object holds the newest records and names the closed segments: objects
+of their own, which are never changed, with the records of calls that have ended. A
+segment is named by the version of the journal's object whose ended records it holds,
+so its content follows from its name, and any number of agents may write it.
+"""
 
 from __future__ import annotations
 
@@ -9,14 +15,22 @@
 from typing import Any, NamedTuple
 
 from ...protocol.requests import Submit
+from ...state.formats import check_format
+from ...state.writer import OPERATIONS_KEY
 
-__all__ = ["Journal", "Record", "RecordState", "digest_of"]
+__all__ = ["Journal", "Record", "RecordState", "Segment", "digest_of"]
 
-FORMAT_VERSION = 1
+FORMAT_VERSION = 2
 KEEP_MS = 24 * 3600 * 1000
 MAX_JOURNAL_BYTES = 900_000
+# Agents' clocks may differ by minutes.
+DELETION_DELAY_MS = 600_000
 MAX_RECORDED_ANSWER_BYTES = 2048
 RECORD_OVERHEAD_BYTES = 160
+SEGMENT_BYTES = 32_000
+MAX_SEGMENTS = 2_000
+N_RECORD_VALUES = 8
+KNOWN_KEYS = frozenset({"format", "records", "open", "segments", OPERATIONS_KEY})
 
 
 class RecordState(StrEnum):
@@ -41,6 +55,8 @@
         When the call was started, by the agent's wall clock.
     status, content_type, body
         The recorded answer. A body that is too long is not kept; `is_cut` tells.
+    later : tuple
+        Values that a later format added; kept as they are.
     """
 
     digest: str
@@ -51,6 +67,30 @@
     content_type: str = ""
     body: bytes = b""
     is_cut: bool = False
+    later: tuple[Any, ...] = ()
+
+    @property
+    def n_bytes(self) -> int:
+        """Estimate of its size in an object, without its key."""
+        return len(self.body) * 4 // 3 + RECORD_OVERHEAD_BYTES
+
+    def to_values(self) -> list[Any]:
+        """Return the record as the content of an object."""
+        body = base64.b64encode(self.body).decode()
+        return [*self[:6], body, self.is_cut, *self.later]
+
+    @classmethod
+    def from_values(cls, values: list[Any]) -> Record:
+        """Read a record from the content of an object."""
+        return cls(
+            values[0],
+            values[1],
+            RecordState(values[2]),
+            *values[3:6],
+            base64.b64decode(values[6]),
+            values[7],
+            tuple(values[N_RECORD_VALUES:]),
+        )
 
     def with_answer(self, status: int, content_type: str, body: bytes) -> Record:
         """Return the record of a call that has ended with an answer."""
@@ -64,51 +104,102 @@
         )
 
 
+class Segment(NamedTuple):
+    """A closed segment, as the journal names it.
+
+    Attributes
+    ----------
+    number : int
+        Version of the journal's object whose ended records the segment holds.
+    newest_at_ms : int
+        When the last of its calls was started.
+    n_records : int
+    """
+
+    number: int
+    newest_at_ms: int
+    n_records: int
+
+    def is_expired(self, now_ms: int) -> bool:
+        """Return whether none of its keys is kept any more."""
+        return self.newest_at_ms <= now_ms - KEEP_MS
+
+
 class Journal(NamedTuple):
-    """Records by workspace and key, as one object of the store holds them."""
+    """Records by workspace and key, as one object of the store holds them.
+
+    Attributes
+    ----------
+    records : dict
+        The newest records; they go before those in segments.
+    segments : tuple of Segment
+        Closed segments, oldest first.
+    later : tuple
+        Fields that a later format added, with the format; kept as they are.
+    """
 
     records: dict[str, Record]
+    segments: tuple[Segment, ...] = ()
+    later: tuple[tuple[str, Any], ...] = ()
 
     def pruned(self, now_ms: int) -> Journal:
         """Return the journal without records past their time."""
         kept = {k: r for k, r in self.records.items() if r.at_ms > now_ms - KEEP_MS}
-        return Journal(kept)
+        return self._replace(records=kept)
+
+    def without(self, deleted: set[int]) -> Journal:
+        """Return the journal without segments that were deleted."""
+        kept = tuple(s for s in self.segments if s.number not in deleted)
+        return self._replace(segments=kept)
 
     @property
     def n_bytes(self) -> int:
-        """Estimate of the object's size."""
-        return sum(
-            len(key) + len(record.body) * 4 // 3 + RECORD_OVERHEAD_BYTES
+        """Estimate of the size of its records."""
+        return sum(len(key) + r.n_bytes for key, r in self.records.items())
+
+    def ended(self) -> dict[str, Record]:
+        """Return the records that will never change."""
+        return {
+            key: record
             for key, record in self.records.items()
-        )
+            if record.state is not RecordState.STARTED
+        }
+
+    def close_segment(self, version: int) -> tuple[Journal, Journal]:
+        """Split the journal that an object holds at a version.
+
+        Returns the journal that names the segment, and the segment's content.
+        """
+        ended = self.ended()
+        started = {k: r for k, r in self.records.items() if k not in ended}
+        newest_at_ms = max(record.at_ms for record in ended.values())
+        segment = Segment(version, newest_at_ms, len(ended))
+        segments = (*self.segments, segment)
+        return self._replace(records=started, segments=segments), Journal(ended)
 
     def to_spec(self) -> dict[str, Any]:
         """Return the journal as the content of an object."""
-        records = {
-            key: [
-                *record[:6],
-                base64.b64encode(record.body).decode(),
-                record.is_cut,
-            ]
-            for key, record in self.records.items()
+        records = {key: record.to_values() for key, record in self.records.items()}
+        return {
+            "format": FORMAT_VERSION,
+            "open": records,
+            "segments": [list(segment) for segment in self.segments],
+            **dict(self.later),
         }
-        return {"format": FORMAT_VERSION, "records": records}
 
     @classmethod
     def from_spec(cls, spec: Mapping[str, Any]) -> Journal:
-        """Read the content of an object; fields of later versions are ignored."""
-        records = {
-            key: Record(
-                values[0],
-                values[1],
-                RecordState(values[2]),
-                *values[3:6],
-                base64.b64decode(values[6]),
-                values[7],
-            )
-            for key, values in spec["records"].items()
-        }
-        return cls(records)
+        """Read the content of an object; raises `FormatUnsupported`."""
+        found_format = check_format("a journal", spec, FORMAT_VERSION)
+        # The records of the first format have another name, so that processes that
+        # know only that format can't take a journal for one without segments.
+        values = spec["records" if found_format == 1 else "open"]
+        records = {key: Record.from_values(each) for key, each in values.items()}
+        segments = tuple(Segment(*each[:3]) for each in spec.get("segments", ()))
+        later = {k: v for k, v in spec.items() if k not in KNOWN_KEYS}
+        if found_format > FORMAT_VERSION:
+            later["format"] = found_format
+        return cls(records, segments, tuple(later.items()))
 
 
 def digest_of(submit: Submit) -> str:
--- a/poplarward/requests/payments/partition.py
+++ b/poplarward/requests/payments/partition.py
@@ -6,19 +6,23 @@
 
 import trio
 
-from ...errors import ConflictError, NotFound, StoreUnavailable, WriteUnknown
+from ...errors import (
+    ConflictError,
+    FormatUnsupported,
+    StoreUnavailable,
+    WriteUnknown,
+)
 from ...protocol.requests import Outcome, Refusal
 from ...state import ObjectStore
 from ...state.budget import RetryBudget
 from ...state.writer import Writer
 from ...telemetry import get_logger
 from .journal import MAX_JOURNAL_BYTES, Journal, Record, RecordState
+from .journal_object import JournalObject
 from .verdicts import Declined, Run, Verdict, examine
 
-__all__ = ["KIND", "Partition"]
+__all__ = ["Partition"]
 
-KIND = "payments"
-WRITE_TIMEOUT_MS = 1_500.0
 AWAY_PAUSE_MS = 1_000.0
 MIN_COMMIT_INTERVAL_MS = 20.0
 RESULT_DELAY_MS = 500.0
@@ -33,6 +37,12 @@
     "the platform's store is away, so the key can not be recorded",
     int(AWAY_PAUSE_MS),
 )
+UNREADABLE = Declined(
+    Refusal.STORE_AWAY,
+    Outcome.NOT_RUN,
+    "the journal of the key was written by a release too far from this one",
+    60_000,
+)
 FULL = Declined(
     Refusal.KEY_FULL, Outcome.NOT_RUN, "the journal of the key is full", 60_000
 )
@@ -83,15 +93,12 @@
         owner: str,
         now_ms: Callable[[], int],
     ):
-        self._store = store
-        self._writer = writer
         self._name = name
         self._owner = owner
-        self._now_ms = now_ms
-        self._journal = Journal({})
-        self._version: int | None = None
+        self._object = JournalObject(store, writer, name, now_ms)
         self._loaded_at = 0.0
         self._away_until = 0.0
+        self._refusal = STORE_AWAY
         self._starts: list[_Start] = []
         self._in_hand: dict[str, Record] = {}
         self._results: dict[str, Record] = {}
@@ -113,11 +120,11 @@
         held = self._in_hand.get(key)
         if held is not None:
             return examine(held, record, in_hand=True)
-        held = self._results.get(key) or self._journal.records.get(key)
+        held = self._results.get(key) or self._object.journal.records.get(key)
         if held is not None and held.state is not RecordState.STARTED:
             return examine(held, record, in_hand=False)
         if trio.current_time() < self._away_until:
-            return STORE_AWAY
+            return self._refusal
         start = _Start(key, record)
         self._in_hand[key] = record
         self._starts.append(start)
@@ -171,23 +178,34 @@
         try:
             await self._load(starts)
             await self._write(starts)
-        except ConflictError:
-            self._version = None
-            self._retry(starts)
+            await self._object.delete_old_segment()
+        except ConflictError as error:
+            self._object.forget()
+            self._retry(starts, str(error))
+        except FormatUnsupported as error:
+            log.error("journal.unreadable", journal=self._name, reason=str(error))
+            self._give_up(starts, UNREADABLE)
         except (StoreUnavailable, WriteUnknown) as error:
             log.warning("journal.away", journal=self._name, reason=str(error))
-            self._version = None
-            self._away_until = trio.current_time() + AWAY_PAUSE_MS / 1000
-            # An update whose effect is not known may have put records there.
-            self._released.update(start.key for start in starts)
-            for start in [*starts, *self._starts]:
-                if start.verdict is None:
-                    start.settle(STORE_AWAY)
-            self._starts.clear()
-
-    def _retry(self, starts: list[_Start]) -> None:
+            self._give_up(starts, STORE_AWAY)
+
+    def _give_up(self, starts: list[_Start], verdict: Declined) -> None:
+        """Refuse all calls that wait, and new ones for a while."""
+        self._object.forget()
+        self._refusal = verdict
+        self._away_until = trio.current_time() + AWAY_PAUSE_MS / 1000
+        # An update whose effect is not known may have put records there.
+        self._released.update(start.key for start in starts)
+        for start in [*starts, *self._starts]:
+            if start.verdict is None:
+                start.settle(verdict)
+        self._starts.clear()
+
+    def _retry(self, starts: list[_Start], reason: str) -> None:
         """Put starts back whose update was refused: another agent wrote."""
-        log.info("journal.conflict", journal=self._name, n_keys=len(starts))
+        log.info(
+            "journal.conflict", journal=self._name, n_keys=len(starts), reason=reason
+        )
         for start in starts:
             start.n_conflicts += 1
             if start.verdict is not None or start.is_abandoned:
@@ -201,39 +219,28 @@
     async def _load(self, starts: list[_Start]) -> None:
         """Read the journal if it is not held, or others may have gone on with it."""
         is_old = trio.current_time() - self._loaded_at > RELOAD_INTERVAL_MS / 1000
-        if self._version is not None and not (is_old and self._is_foreign(starts)):
+        if self._object.is_loaded and not (is_old and self._is_foreign(starts)):
             return
-        with trio.move_on_after(WRITE_TIMEOUT_MS / 1000):
-            try:
-                found = await self._store.get(KIND, self._name)
-                self._journal = Journal.from_spec(found.spec)
-                self._version = found.version
-            except NotFound:
-                self._journal, self._version = Journal({}), 0
-            self._loaded_at = trio.current_time()
-            return
-        raise StoreUnavailable(f"{self._name} could not be read in time")
+        await self._object.load()
+        self._loaded_at = trio.current_time()
 
     def _is_foreign(self, starts: list[_Start]) -> bool:
         """Return whether another agent may have finished a call asked for again."""
-        held = [self._journal.records.get(start.key) for start in starts]
+        held = [self._object.journal.records.get(start.key) for start in starts]
         return any(r is not None and r.state is RecordState.STARTED for r in held)
 
     async def _write(self, starts: list[_Start]) -> None:
+        found = {start.key: await self._object.find(start.key) for start in starts}
         results, released = dict(self._results), set(self._released)
-        journal = self._journal.pruned(self._now_ms())
+        journal = await self._object.next_journal()
         records = journal.records
         for key in released - self._in_hand.keys():
             if key in records and self._is_own_start(records[key]):
                 del records[key]
         records.update(results)
-        accepted = self._admit(journal, starts)
-        if records != self._journal.records:
-            assert self._version is not None
-            stored = await self._writer.put(
-                KIND, self._name, journal.to_spec(), self._version, WRITE_TIMEOUT_MS
-            )
-            self._journal, self._version = journal, stored.version
+        accepted = self._admit(journal, starts, found)
+        if journal != self._object.journal:
+            await self._object.replace(journal)
         for key, result in results.items():
             if self._results.get(key) == result:
                 del self._results[key]
@@ -244,14 +251,19 @@
     def _is_own_start(self, record: Record) -> bool:
         return record.state is RecordState.STARTED and record.owner == self._owner
 
-    def _admit(self, journal: Journal, starts: list[_Start]) -> list[_Start]:
+    def _admit(
+        self,
+        journal: Journal,
+        starts: list[_Start],
+        found: dict[str, Record | None],
+    ) -> list[_Start]:
         """Add the records of calls that are to run; settles all others."""
         accepted = []
         n_bytes = journal.n_bytes
         for start in starts:
             if start.is_abandoned:
                 continue
-            held = journal.records.get(start.key)
+            held = journal.records.get(start.key) or found[start.key]
             verdict = examine(held, start.record, in_hand=False)
             if isinstance(verdict, Run) and n_bytes > MAX_JOURNAL_BYTES:
                 verdict = FULL
--- a/tests/requests/payments/test_payments.py
+++ b/tests/requests/payments/test_payments.py
@@ -4,6 +4,7 @@
 
 import json
 
+import pytest
 import trio
 
 from benchmarks.naive_payments import NaivePayments
@@ -14,11 +15,13 @@
     Record,
     RecordState,
     Run,
+    journal,
+    keys,
     partition,
     read_issued_key,
 )
 from poplarward.requests.payments.issued import IssuedCalls
-from poplarward.requests.payments.journal import KEEP_MS
+from poplarward.requests.payments.journal import KEEP_MS, Segment
 from poplarward.requests.payments.partition import Partition
 from poplarward.requests.payments.verdicts import UNKNOWN
 from poplarward.standins.object_store import MemoryObjectStore
@@ -192,8 +195,13 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_answers_are_those_of_one_record_a_key(nursery, autojump_clock):
+@pytest.mark.parametrize("segment_bytes", [journal.SEGMENT_BYTES, 400, 0])
+async def test_answers_are_those_of_one_record_a_key(
+    nursery, autojump_clock, monkeypatch, segment_bytes
+):
     """Differential: the journal answers as the naive way does."""
+    monkeypatch.setattr(journal, "SEGMENT_BYTES", segment_bytes)
+    monkeypatch.setattr(keys, "N_PARTITIONS", 2)
     scripts = []
     for make_payments in (None, NaivePayments):
         ledger_path = await start(nursery, make_payments)
@@ -212,9 +220,9 @@
 
 def test_journal_survives_coding_and_drops_old_records():
     done = STARTED._replace(at_ms=5_000).with_answer(201, "application/json", b"{}")
-    journal = Journal({"a/k-1": STARTED, "a/k-2": done})
-    assert Journal.from_spec(json.loads(json.dumps(journal.to_spec()))) == journal
-    assert journal.pruned(KEEP_MS + 2_000).records == {"a/k-2": done}
+    held = Journal({"a/k-1": STARTED, "a/k-2": done}, (Segment(3, 900, 7),))
+    assert Journal.from_spec(json.loads(json.dumps(held.to_spec()))) == held
+    assert held.pruned(KEEP_MS + 2_000).records == {"a/k-2": done}
 
 
 async def test_full_journal_refuses_new_keys(nursery, autojump_clock, monkeypatch):
--- a/tests/requests/payments/test_payments_machine.py
+++ b/tests/requests/payments/test_payments_machine.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
 from benchmarks.memory_path import run_in_virtual_time
+from poplarward.requests.payments import journal, keys
 from tests.requests.payments.ledger_path import N_AGENTS, N_ENTRIES, LedgerPath
 
 AGENTS = st.integers(0, N_AGENTS - 1)
@@ -78,9 +79,9 @@
     async with trio.open_nursery() as nursery:
         ledger_path = LedgerPath(nursery, make_payments)
         await ledger_path.start()
-        keys = {}
+        issued = {}
         for step in script:
-            await play_step(ledger_path, keys, step)
+            await play_step(ledger_path, issued, step)
         ledger_path.heal()
         await trio.sleep(10)
         for key in {key for key, _, _ in ledger_path.sent}:
@@ -92,14 +93,14 @@
     return ledger_path
 
 
-async def play_step(ledger_path, keys, step):
+async def play_step(ledger_path, issued, step):
     faults = ledger_path.store.faults
     if step[0] in AGENT_FAULTS and isinstance(step[1], str):
         step = (step[0], ledger_path.owner_of(step[1]))
     match step:
         case ("send", key, entry, cents, pause_ms):
             if key.startswith("issued"):
-                key = await issued_key(ledger_path, keys, key)
+                key = await issued_key(ledger_path, issued, key)
             ledger_path.send(key, entry, cents)
             await trio.sleep(pause_ms / 1000)
         case ("wait", pause_ms):
@@ -124,18 +125,29 @@
             faults.delay_ms, faults.lost_answers = 3.0, 0.0
 
 
-async def issued_key(ledger_path, keys, name):
+async def issued_key(ledger_path, issued, name):
     """Return the key that an agent issued under a name, or a caller's own."""
-    if name not in keys:
+    if name not in issued:
         try:
-            keys[name] = await ledger_path.entries[0].keys.issue("ledger")
+            issued[name] = await ledger_path.entries[0].keys.issue("ledger")
         except Exception:
             return "k-3"
-    return keys[name]
+    return issued[name]
 
 
-def test_payments_run_at_most_once():
+def check_machine():
     run_state_machine_as_test(
         PaymentsMachine,
         settings=settings(max_examples=20, stateful_step_count=16),
     )
+
+
+def test_payments_run_at_most_once():
+    check_machine()
+
+
+def test_payments_run_at_most_once_while_segments_are_closed(monkeypatch):
+    """Keys share two partitions, and every update that can closes a segment."""
+    monkeypatch.setattr(keys, "N_PARTITIONS", 2)
+    monkeypatch.setattr(journal, "SEGMENT_BYTES", 0)
+    check_machine()
