Prove that a payment without a key runs once each time it is sent

Cause: calls that may not be repeated were neither refused nor protected when they had no idempotency key, and nothing said what holds for them.

Ruled out: refusing them (callers would send keys made up anew for each try); a key issued by the entry host (it binds the call to one start of an agent, as the name of the attempt does).

The change: tests only. The state machine sends payments without keys and strikes every agent meanwhile; another test strikes at every third millisecond of the way by kill, cut and pause.

--- a/tests/requests/payments/ledger_path.py
+++ b/tests/requests/payments/ledger_path.py
@@ -13,6 +13,7 @@
 
 N_ENTRIES = 2
 N_AGENTS = 3
+NO_KEY = "no key"
 
 
 class Gate:
@@ -136,10 +137,16 @@
         return int(names[0].partition("-")[2]) if names else 0
 
     def send(self, key, entry, cents=1, deadline_ms=3_000):
-        """Send a payment in the background; its caller and key are kept."""
+        """Send a payment in the background; its caller and key are kept.
+
+        A payment without a key has a reference of its own each time.
+        """
         caller = Caller()
-        self.sent.append((key, cents, caller))
-        request = payment(key, key, deadline_ms, cents)
+        reference = key
+        if key == NO_KEY:
+            reference, key = f"{NO_KEY} {len(self.sent)}", ""
+        self.sent.append((reference, cents, caller))
+        request = payment(reference, key, deadline_ms, cents)
         self.nursery.start_soon(self.entries[entry].run, request, caller)
         return caller
 
--- a/tests/requests/payments/test_payments.py
+++ b/tests/requests/payments/test_payments.py
@@ -27,7 +27,7 @@
 from poplarward.standins.object_store import MemoryObjectStore
 from poplarward.state.writer import Writer
 from poplarward.transport import Address
-from tests.requests.payments.ledger_path import LedgerPath
+from tests.requests.payments.ledger_path import N_AGENTS, NO_KEY, LedgerPath
 
 STARTED = Record("d", "agent-0:1", RecordState.STARTED, 1_000)
 
@@ -128,6 +128,41 @@
     assert calls.begin(key, issued, STARTED) == UNKNOWN
 
 
+async def test_payments_without_a_key_run_once(nursery, autojump_clock):
+    """Every agent is struck at every millisecond while it has such a payment."""
+    ledger_path = await start(nursery)
+    faults = {
+        "kill": ledger_path.kill_agent,
+        "cut": lambda number: set_cut_for_a_while(ledger_path, number),
+        "pause": lambda number: set_paused_for_a_while(ledger_path, number),
+    }
+    for fault in faults.values():
+        for wait_ms in range(0, 40, 3):
+            for _ in range(N_AGENTS):
+                ledger_path.send(NO_KEY, 0)
+            await trio.sleep(wait_ms / 1000)
+            for number in range(N_AGENTS):
+                await fault(number)
+            await trio.sleep(4)
+    await trio.sleep(10)
+    ledger_path.check()
+    outcomes = {caller.outcome for _, _, caller in ledger_path.sent}
+    assert outcomes == {"ran", "unknown", "not-run"}
+    nursery.cancel_scope.cancel()
+
+
+async def set_cut_for_a_while(ledger_path, number):
+    ledger_path.set_cut(number, True)
+    await trio.sleep(1)
+    ledger_path.set_cut(number, False)
+
+
+async def set_paused_for_a_while(ledger_path, number):
+    ledger_path.set_paused(number, True)
+    await trio.sleep(1)
+    ledger_path.set_paused(number, False)
+
+
 async def test_paused_owner_that_wakes_after_takeover(nursery, autojump_clock):
     """The pause falls at every millisecond from the receipt to the forwarding."""
     ledger_path = await start(nursery)
--- a/tests/requests/payments/test_payments_machine.py
+++ b/tests/requests/payments/test_payments_machine.py
@@ -9,7 +9,7 @@
 
 from benchmarks.memory_path import run_in_virtual_time
 from poplarward.requests.payments import journal, keys
-from tests.requests.payments.ledger_path import N_AGENTS, N_ENTRIES, LedgerPath
+from tests.requests.payments.ledger_path import N_AGENTS, N_ENTRIES, NO_KEY, LedgerPath
 
 AGENTS = st.integers(0, N_AGENTS - 1)
 ENTRIES = st.integers(0, N_ENTRIES - 1)
@@ -25,7 +25,7 @@
         self.script = []
 
     @rule(
-        key=st.sampled_from(["k-1", "k-2", "k-3", "k-4", "issued-1"]),
+        key=st.sampled_from(["k-1", "k-2", "k-3", "k-4", "issued-1", NO_KEY]),
         entry=ENTRIES,
         cents=st.sampled_from([1, 1, 1, 2]),
         pause_ms=PAUSES_MS,
@@ -48,6 +48,22 @@
         self.script.append((fault, agent))
         self.script.append(("wait", pause_ms))
 
+    @rule(
+        fault=st.sampled_from(["kill", "pause", "cut", "crash", "down", "losing"]),
+        before_ms=st.sampled_from([0, 2, 5, 8, 20, 50]),
+        between_ms=PAUSES_MS,
+    )
+    def strike_without_key(self, fault, before_ms, between_ms):
+        """Strike every agent's part on the way of payments without a key."""
+        for _ in range(N_AGENTS):
+            self.script.append(("send", NO_KEY, 0, 1, 0))
+        self.script.append(("wait", before_ms))
+        if fault in AGENT_FAULTS:
+            self.script += [(fault, agent) for agent in range(N_AGENTS)]
+        else:
+            self.script.append((fault,))
+        self.script.append(("wait", between_ms))
+
     @rule(
         fault=st.sampled_from(["kill", "pause", "cut", "crash", "down", "losing"]),
         before_ms=st.sampled_from([0, 2, 5, 8, 20, 50]),
@@ -84,7 +100,7 @@
             await play_step(ledger_path, issued, step)
         ledger_path.heal()
         await trio.sleep(10)
-        for key in {key for key, _, _ in ledger_path.sent}:
+        for key in {key for key, _, _ in ledger_path.sent if NO_KEY not in key}:
             for entry in range(N_ENTRIES):
                 ledger_path.send(key, entry)
         await trio.sleep(10)
