Read store objects one format up and down; outlive messages not known

A message with an unknown tag cut the connection, and all calls on it.

Ruled out: one number for the whole store (no object is read first by all); optional fields without a number (nothing stops a process from overwriting).

The change: state.formats; each object names its format; unknown fields and the greater format are kept on rewriting; FormatUnsupported, a StoreUnavailable, for anything farther. Unknown or unreadable messages are refused or left out one by one.

Two builds of different releases as real processes were not run.

--- a/poplarward/coordination/expert_maps/record.py
+++ b/poplarward/coordination/expert_maps/record.py
@@ -3,17 +3,26 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from ...errors import ConflictError, NotFound
 from ...protocol.expert_maps import MapId
-from ...state import ObjectStore, Writer
+from ...state import (
+    FORMAT_KEY,
+    ObjectStore,
+    StoredObject,
+    Writer,
+    check_format,
+    format_of,
+)
+from ...state.writer import OPERATIONS_KEY
 
 __all__ = ["MapRecord", "RecordedMap"]
 
 KIND = "expertmaps"
 FORMAT_VERSION = 1
 WRITE_TIMEOUT_MS = 2000.0
+KNOWN_KEYS = frozenset({FORMAT_KEY, "map_id", "layers", OPERATIONS_KEY})
 
 
 class RecordedMap(NamedTuple):
@@ -43,7 +52,8 @@
 
     async def read(self) -> RecordedMap | None:
         """Return the recorded map, None before the first; raises `StoreUnavailable`."""
-        return (await self._read())[1]
+        stored = await self._read()
+        return None if stored is None else _recorded_in(stored)
 
     async def write(self, recorded: RecordedMap) -> None:
         """Record a map unless the store holds a later one.
@@ -52,14 +62,16 @@
         harmless.
         """
         while True:
-            version, held = await self._read()
-            if held is not None and held.map_id >= recorded.map_id:
+            stored = await self._read()
+            if stored is not None and _recorded_in(stored).map_id >= recorded.map_id:
                 return
             spec = {
-                "format": FORMAT_VERSION,
+                FORMAT_KEY: FORMAT_VERSION,
+                **_later_fields(stored),
                 "map_id": list(recorded.map_id),
                 "layers": _as_lists(recorded.layers),
             }
+            version = 0 if stored is None else stored.version
             try:
                 await self._writer.put(
                     KIND, self._group, spec, version, WRITE_TIMEOUT_MS
@@ -68,15 +80,28 @@
                 continue
             return
 
-    async def _read(self) -> tuple[int, RecordedMap | None]:
+    async def _read(self) -> StoredObject | None:
         try:
             stored = await self._store.get(KIND, self._group)
         except NotFound:
-            return 0, None
-        layers = tuple(
-            tuple(tuple(row) for row in layer) for layer in stored.spec["layers"]
-        )
-        return stored.version, RecordedMap(MapId(*stored.spec["map_id"]), layers)
+            return None
+        check_format(f"the map record of {self._group}", stored.spec, FORMAT_VERSION)
+        return stored
+
+
+def _recorded_in(stored: StoredObject) -> RecordedMap:
+    layers = tuple(
+        tuple(tuple(row) for row in layer) for layer in stored.spec["layers"]
+    )
+    return RecordedMap(MapId(*stored.spec["map_id"]), layers)
+
+
+def _later_fields(stored: StoredObject | None) -> dict[str, Any]:
+    """Return what a later release added to a record, with its format."""
+    if stored is None:
+        return {}
+    later = {k: v for k, v in stored.spec.items() if k not in KNOWN_KEYS}
+    return {**later, FORMAT_KEY: max(FORMAT_VERSION, format_of(stored.spec))}
 
 
 def _as_lists(layers: Sequence[Sequence[Sequence[int]]]) -> list[list[list[int]]]:
--- a/poplarward/coordination/leases.py
+++ b/poplarward/coordination/leases.py
@@ -15,13 +15,30 @@
 
 import trio
 
-from ..errors import ConflictError, NotFound, StoreUnavailable, WriteUnknown
-from ..state import ObjectStore, StoredObject, Writer
+from ..errors import (
+    ConflictError,
+    FormatUnsupported,
+    NotFound,
+    StoreUnavailable,
+    WriteUnknown,
+)
+from ..state import (
+    FORMAT_KEY,
+    ObjectStore,
+    StoredObject,
+    Writer,
+    check_format,
+)
+from ..state.writer import OPERATIONS_KEY
 from ..telemetry import get_logger
 
 __all__ = ["LEASES_KIND", "Lease", "LeaseCandidate", "LeaseTiming", "fence_of"]
 
 LEASES_KIND = "leases"
+FORMAT_VERSION = 1
+KNOWN_KEYS = frozenset(
+    {FORMAT_KEY, "holder", "fence", "length_ms", "wanted_by", OPERATIONS_KEY}
+)
 FIRST_ASK_INTERVAL_MS = 4_000.0
 LONGEST_ASK_INTERVAL_MS = 60_000.0
 
@@ -74,7 +91,11 @@
 
 
 def fence_of(stored: StoredObject) -> int:
-    """Return the fencing number of a lease: the version at which it was acquired."""
+    """Return the fencing number of a lease: the version at which it was acquired.
+
+    Raises `FormatUnsupported`.
+    """
+    check_format(f"lease {stored.name}", stored.spec, FORMAT_VERSION)
     return int(stored.spec["fence"]) or stored.version
 
 
@@ -123,6 +144,7 @@
         self._asked_at_s = -math.inf
         self._ask_interval_ms = 0.0
         self._scope = trio.CancelScope()
+        self._later: dict[str, Any] = {}
 
     @property
     def fence(self) -> int | None:
@@ -158,7 +180,9 @@
         while True:
             try:
                 stored = await self._read()
-            except StoreUnavailable:
+            except StoreUnavailable as error:
+                if isinstance(error, FormatUnsupported):
+                    log.error("lease.unreadable", lease=self.name, reason=str(error))
                 await trio.sleep(self._timing.poll_interval_ms / 1000)
                 continue
             version = 0 if stored is None else stored.version
@@ -265,6 +289,8 @@
 
     def _spec(self, fence: int) -> dict[str, Any]:
         return {
+            FORMAT_KEY: FORMAT_VERSION,
+            **self._later,
             "holder": self._holder,
             "fence": fence,
             "length_ms": self._timing.length_ms,
@@ -284,6 +310,11 @@
 
     async def _read(self) -> StoredObject | None:
         try:
-            return await self._store.get(LEASES_KIND, self.name)
+            stored = await self._store.get(LEASES_KIND, self.name)
         except NotFound:
             return None
+        found = check_format(f"lease {self.name}", stored.spec, FORMAT_VERSION)
+        # What a later release added stays in the lease when it is rewritten.
+        later = {k: v for k, v in stored.spec.items() if k not in KNOWN_KEYS}
+        self._later = {**later, FORMAT_KEY: max(FORMAT_VERSION, found)}
+        return stored
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -62,10 +62,6 @@
     """An engine gave no usable answer; it may have carried out the order."""
 
 
-class FormatUnsupported(PoplarwardError):
-    """An object of the store has a format that this release can't read."""
-
-
 class PeerUnreachable(PoplarwardError):
     """No connection to a peer could be opened, or it was lost."""
 
@@ -108,6 +104,10 @@
         self.retry_after_ms = retry_after_ms
 
 
+class FormatUnsupported(StoreUnavailable):
+    """An object of the store has a format that this release can't read."""
+
+
 class UpstreamUnreachable(PoplarwardError):
     """An upstream could not be reached, or its answer broke off.
 
--- a/poplarward/operations/changes.py
+++ b/poplarward/operations/changes.py
@@ -8,11 +8,15 @@
 
 from ..errors import ConflictError, NotFound, StoreUnavailable, WriteUnknown
 from ..state import (
+    CONFIGURATION_FORMAT,
+    FORMAT_KEY,
     STORE_KIND,
     ObjectStore,
     Resource,
     StoredObject,
     Writer,
+    fields_of_later_releases,
+    format_of,
     object_name,
     resource_of,
 )
@@ -68,7 +72,11 @@
         found = await self._find(kind, name)
         self._check_version(kind, name, found, expected_version)
         history = [] if found is None else _history_with(found)
-        content = {**spec, HISTORY_KEY: history}
+        content = {
+            **_kept_from(found, kind),
+            **spec,
+            HISTORY_KEY: history,
+        }
         try:
             stored = await self._writer.put(
                 STORE_KIND,
@@ -157,6 +165,14 @@
     return VersionConflict(text, None if found is None else resource_of(found))
 
 
+def _kept_from(found: StoredObject | None, kind: str) -> dict[str, Any]:
+    """Return the format, and what only a later release knows of a resource."""
+    if found is None:
+        return {FORMAT_KEY: CONFIGURATION_FORMAT}
+    later = fields_of_later_releases(kind, found.spec)
+    return {**later, FORMAT_KEY: max(CONFIGURATION_FORMAT, format_of(found.spec))}
+
+
 def _history_with(found: StoredObject) -> list[list[Any]]:
     """Return the history that the next version carries, newest first."""
     earlier = found.spec.get(HISTORY_KEY, [])
--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -32,6 +32,7 @@
 
 HANDSHAKE_TIMEOUT_S = 3.0
 RECONNECT_PAUSE_S = 0.2
+MAX_UNREADABLE = 20
 
 _NOTICE, _CALL, _REPLY, _REFUSAL, _NOTICES = range(5)
 
@@ -69,6 +70,7 @@
         self._send_lock = trio.Lock()
         self._call_ids = itertools.count(1)
         self._pending: dict[int, _PendingCall] = {}
+        self._unreadable: set[str] = set()
 
     async def notify(self, value: Any) -> None:
         """Send a message that needs no reply; raises `PeerUnreachable`."""
@@ -144,19 +146,43 @@
             return
         if kind == _NOTICES:
             for notice in body if isinstance(body, list) else [body]:
-                value = from_array(notice)
-                await self._handler_of(value, handlers)(self, value)
+                await self._take_notice(notice, handlers)
             return
-        value = from_array(body)
-        if kind == _REPLY:
+        try:
+            value = from_array(body)
+            handler = None if kind == _REPLY else self._handler_of(value, handlers)
+        except DecodeError as error:
+            # A process of another release may send what this one does not know.
+            self._note_unreadable(error)
+            if kind == _CALL:
+                nursery.start_soon(self._send, _REFUSAL, call_id, str(error))
+            elif kind == _REPLY:
+                self._settle(call_id, CallRefused(f"unreadable reply: {error}"))
+            return
+        if handler is None:
             self._settle(call_id, value)
             return
-        handler = self._handler_of(value, handlers)
         if kind == _CALL:
             nursery.start_soon(self._answer, handler, value, call_id)
         else:
             await handler(self, value)
 
+    async def _take_notice(self, notice: Any, handlers: dict[type, Handler]) -> None:
+        try:
+            value = from_array(notice)
+            handler = self._handler_of(value, handlers)
+        except DecodeError as error:
+            self._note_unreadable(error)
+            return
+        await handler(self, value)
+
+    def _note_unreadable(self, error: DecodeError) -> None:
+        """Log each kind of message that can't be read once a connection."""
+        reason = str(error)
+        if reason not in self._unreadable and len(self._unreadable) < MAX_UNREADABLE:
+            self._unreadable.add(reason)
+            log.warning("peer.unreadable", peer=self.identity.name, reason=reason)
+
     def _handler_of(self, value: Any, handlers: dict[type, Handler]) -> Handler:
         handler = handlers.get(type(value))
         if handler is None:
--- a/poplarward/requests/payments/journal.py
+++ b/poplarward/requests/payments/journal.py
@@ -115,11 +115,14 @@
     newest_at_ms : int
         When the last of its calls was started.
     n_records : int
+    later : tuple
+        Values that a later format added; kept as they are.
     """
 
     number: int
     newest_at_ms: int
     n_records: int
+    later: tuple[Any, ...] = ()
 
     def is_expired(self, now_ms: int) -> bool:
         """Return whether none of its keys is kept any more."""
@@ -189,7 +192,7 @@
         return {
             "format": FORMAT_VERSION,
             "open": records,
-            "segments": [list(segment) for segment in self.segments],
+            "segments": [[*each[:3], *each.later] for each in self.segments],
             **dict(self.later),
         }
 
@@ -201,7 +204,9 @@
         # know only that format can't take a journal for one without segments.
         values = spec["records" if found_format == 1 else "open"]
         records = {key: Record.from_values(each) for key, each in values.items()}
-        segments = tuple(Segment(*each[:3]) for each in spec.get("segments", ()))
+        segments = tuple(
+            Segment(*each[:3], tuple(each[3:])) for each in spec.get("segments", ())
+        )
         later = {k: v for k, v in spec.items() if k not in KNOWN_KEYS}
         if found_format > FORMAT_VERSION:
             later["format"] = found_format
--- a/poplarward/state/__init__.py
+++ b/poplarward/state/__init__.py
@@ -8,7 +8,9 @@
 """
 
 from .budget import Backoff, RetryBudget
+from .formats import FORMAT_KEY, check_format, format_of
 from .resources import (
+    CONFIGURATION_FORMAT,
     DRAIN_KIND,
     FREEZE_KIND,
     KINDS,
@@ -21,6 +23,7 @@
     ServiceSpec,
     WorkspaceSpec,
     check_spec,
+    fields_of_later_releases,
     object_name,
     resource_of,
 )
@@ -34,7 +37,9 @@
 from .writer import Writer
 
 __all__ = [
+    "CONFIGURATION_FORMAT",
     "DRAIN_KIND",
+    "FORMAT_KEY",
     "FREEZE_KIND",
     "Backoff",
     "KINDS",
@@ -54,8 +59,11 @@
     "WatchEvent",
     "WorkspaceSpec",
     "Writer",
+    "check_format",
     "check_spec",
     "drained_hosts",
+    "fields_of_later_releases",
+    "format_of",
     "object_name",
     "resource_of",
 ]
--- a/poplarward/state/resources.py
+++ b/poplarward/state/resources.py
@@ -8,10 +8,12 @@
 from typing_extensions import TypedDict
 
 from ..errors import Finding, FindingsError
+from .formats import FORMAT_KEY, check_format
 from .store import StoredObject
 
 __all__ = [
     "BOOKKEEPING_KEYS",
+    "CONFIGURATION_FORMAT",
     "DRAIN_KIND",
     "FREEZE_KIND",
     "KINDS",
@@ -24,6 +26,7 @@
     "ServiceSpec",
     "WorkspaceSpec",
     "check_spec",
+    "fields_of_later_releases",
     "object_name",
     "resource_of",
 ]
@@ -103,7 +106,8 @@
 
 # All resources share one kind of the store, so that one watch follows them in order.
 STORE_KIND = "configuration"
-BOOKKEEPING_KEYS = frozenset({"operations", "history"})
+BOOKKEEPING_KEYS = frozenset({"operations", "history", FORMAT_KEY})
+CONFIGURATION_FORMAT = 1
 
 
 def check_spec(kind: str, name: str, spec: Any) -> dict[str, Any]:
@@ -132,6 +136,21 @@
         raise FindingsError(findings) from None
 
 
+def fields_of_later_releases(kind: str, spec: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields of a stored spec that this release does not know.
+
+    Examples
+    --------
+    >>> spec = {"skew_weight": 3.0, "rebalance_cost_weight": 1.0, "new": 7}
+    >>> fields_of_later_releases("deployments", spec)
+    {'new': 7}
+    """
+    if kind not in _SPECS:
+        return {}
+    known = _SPECS[kind].__annotations__.keys() | BOOKKEEPING_KEYS
+    return {name: value for name, value in spec.items() if name not in known}
+
+
 class Resource(NamedTuple):
     """A declared object at a version; ``spec`` is None once it was deleted."""
 
@@ -149,6 +168,8 @@
 def resource_of(stored: StoredObject, deleted: bool = False) -> Resource:
     """Return the resource that an object of the store stands for.
 
+    Raises `FormatUnsupported`.
+
     Examples
     --------
     >>> spec = {"share": 1.0, "operations": ["5d"], "history": []}
@@ -156,5 +177,7 @@
     Resource(kind='workspaces', name='ateliers', version=4, spec={'share': 1.0})
     """
     kind, _, name = stored.name.partition(".")
+    if not deleted:
+        check_format(f"{kind}/{name}", stored.spec, CONFIGURATION_FORMAT)
     spec = {k: v for k, v in stored.spec.items() if k not in BOOKKEEPING_KEYS}
     return Resource(kind, name, stored.version, None if deleted else spec)
