Close kept connections when a listener stops

Found by the first rolling restart: each entry host took 44 to 69 s to stop, with no request in progress.

Cause: the server reports the end of a response to the handler as a disconnect, at which the gateway cancels itself. That cut off the server's own task between the last byte and making the connection ready for the next request, so the connection was neither used again nor watched, and was only ended by the 120 s limit of the stop. Ruled out: the release of roles and the announcement (2 ms by the log), idle connections in general (a plain handler's are closed at once).

Change: the last part of a response is sent to its end.

test_stop_closes_connections_that_callers_keep: two of its three handlers fail against the unchanged code.

--- a/poplarward/transport/http_server.py
+++ b/poplarward/transport/http_server.py
@@ -108,7 +108,11 @@
 
     async def finish(self, data: bytes = b"") -> None:
         """Send the last part of the body."""
-        await self.send({"type": "http.response.body", "body": data})
+        # The server reports the end of a response as a disconnect. A handler that
+        # cancels itself then must not cut the server off while it makes the
+        # connection ready for the next request: it would never be closed.
+        with trio.CancelScope(shield=True):
+            await self.send({"type": "http.response.body", "body": data})
 
     async def respond(
         self,
--- /dev/null
+++ b/tests/transport/test_http_server.py
@@ -0,0 +1,64 @@
+"""A listener that stops lets go of connections that callers keep open."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from poplarward.transport import Address, HttpClient, asgi_application, serve_http
+
+STOP_TIMEOUT_S = 30.0
+
+
+async def answer_plainly(request, responder):
+    await request.body(100)
+    await responder.respond_json(200, {})
+
+
+async def answer_until_the_caller_leaves(request, responder):
+    await request.body(100)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(request.cancel_on_disconnect, nursery.cancel_scope)
+        await responder.respond_json(200, {})
+        nursery.cancel_scope.cancel()
+
+
+async def stream_until_the_caller_leaves(request, responder):
+    await request.body(100)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(request.cancel_on_disconnect, nursery.cancel_scope)
+        await responder.start(200, [("content-type", "text/event-stream")])
+        await responder.write(b"data: a\n\n")
+        await responder.finish(b"data: [DONE]\n\n")
+
+
+@pytest.mark.parametrize(
+    "handler",
+    [
+        answer_plainly,
+        answer_until_the_caller_leaves,
+        stream_until_the_caller_leaves,
+    ],
+)
+async def test_stop_closes_connections_that_callers_keep(nursery, handler):
+    stop, stopped = trio.Event(), trio.Event()
+
+    async def serve(task_status):
+        application = asgi_application(handler)
+        await serve_http(
+            application,
+            Address("127.0.0.1", 0),
+            stop=stop.wait,
+            task_status=task_status,
+        )
+        stopped.set()
+
+    client = HttpClient(f"http://{await nursery.start(serve)}")
+    for _ in range(3):
+        assert (await client.call("POST", "/", body=b"a")).status == 200
+    assert len(client._idle) == 1
+    stop.set()
+    with trio.fail_after(STOP_TIMEOUT_S):
+        await stopped.wait()
+    await client.close()
+    nursery.cancel_scope.cancel()
