Close connections of a client that the server has closed

Cause: an idle connection that had expired was dropped without being closed, so its socket stayed until it was collected. Found by the rolling restart's test, which failed on unclosed sockets.

test_connection_that_the_server_closed_is_closed_here_too fails against the unchanged code.

--- a/poplarward/transport/http_client.py
+++ b/poplarward/transport/http_client.py
@@ -140,7 +140,7 @@
         self, request: httpcore.Request
     ) -> AsyncIterator[httpcore.Response]:
         """Run a request on a connection, and keep the connection if it can be."""
-        connection: httpcore.AsyncHTTPConnection | None = self._take_connection()
+        connection: httpcore.AsyncHTTPConnection | None = await self._take_connection()
         try:
             response = await connection.handle_async_request(request)
             try:
@@ -157,12 +157,14 @@
                 with trio.CancelScope(shield=True):
                     await connection.aclose()
 
-    def _take_connection(self) -> httpcore.AsyncHTTPConnection:
+    async def _take_connection(self) -> httpcore.AsyncHTTPConnection:
         """Return the idle connection used last, or a new one."""
         while self._idle:
             connection = self._idle.pop()
             if not connection.has_expired():
                 return connection
+            with trio.CancelScope(shield=True):
+                await connection.aclose()
         return httpcore.AsyncHTTPConnection(
             self._origin, ssl_context=self._access.tls, keepalive_expiry=KEEPALIVE_S
         )
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -60,3 +60,26 @@
         await client.call("GET", "/")
     assert caught.value.sent
     nursery.cancel_scope.cancel()
+
+
+async def test_connection_that_the_server_closed_is_closed_here_too(nursery):
+    stop, stopped = trio.Event(), trio.Event()
+
+    async def serve(task_status):
+        await serve_http(
+            asgi_application(Counting().handle),
+            Address("127.0.0.1", 0),
+            stop=stop.wait,
+            task_status=task_status,
+        )
+        stopped.set()
+
+    client = HttpClient(f"http://{await nursery.start(serve)}")
+    await client.call("GET", "/")
+    [kept] = client._idle
+    stop.set()
+    await stopped.wait()
+    with pytest.raises(UpstreamUnreachable):
+        await client.call("GET", "/")
+    assert kept.is_closed()
+    nursery.cancel_scope.cancel()
