--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -132,8 +132,17 @@
         """Start a stand-in and wait until it listens."""
         host = host or self.new_host()
         command = ["poplarward.standins.program", kind, "--listen", f"{host}:7000"]
-        process = self.start_process(name, host, [*command, *options])
-        await self.wait_for_event(process, "standin.started")
+        return await self._start_and_wait(
+            name, host, [*command, *options], "standin.started"
+        )
+
+    async def _start_and_wait(
+        self, name: str, host: str, command: list[str], event: str
+    ) -> ManagedProcess:
+        # The log goes on after that of earlier starts.
+        n_before = _n_logged(Path(self._directory.name) / f"{name}.log", event)
+        process = self.start_process(name, host, command)
+        await self.wait_for_event(process, event, n_before + 1)
         return process
 
     async def start_entry(
@@ -166,6 +175,7 @@
         url: str,
         n_slots: int = 32,
         ranks: list[int] | None = None,
+        **more_settings: Any,
     ) -> ManagedProcess:
         """Start an agent, list it, and wait until it serves.
 
@@ -186,6 +196,7 @@
                 "n_slots": n_slots,
             },
             **self.tls_sections.get("agent", {}),
+            **more_settings,
         }
         if ranks is not None:
             self.settings[name]["upstream"]["ranks"] = ranks
@@ -200,12 +211,7 @@
         path.write_text(json.dumps(settings), encoding="utf-8")
         host = settings["peers_listen"].partition(":")[0]
         command = [f"poplarward.programs.{role}", str(path)]
-        event = f"{role}.started"
-        # The log goes on after that of the earlier starts.
-        n_before = _n_logged(Path(self._directory.name) / f"{name}.log", event)
-        process = self.start_process(name, host, command)
-        await self.wait_for_event(process, event, n_before + 1)
-        return process
+        return await self._start_and_wait(name, host, command, f"{role}.started")
 
     async def list_host(self, name: str, state: str = "live") -> None:
         """Put a host on the platform's list."""
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -63,6 +63,7 @@
 
     def __init__(self, settings: EntrySettings):
         self._settings = settings
+        self._address_keep_ms = settings.get("address_keep_ms", ADDRESS_KEEP_MS)
         self._stop_requested = trio.Event()
         self._close_callers = trio.Event()
         self._callers_served = trio.Event()
@@ -140,6 +141,7 @@
             AttemptLoop(self.peers, Relay(self.peers), router),
             self._addresses_to_name,
             self.metrics,
+            self._address_keep_ms,
         )
 
     def _make_operations(self) -> None:
@@ -216,8 +218,9 @@
         with trio.move_on_after(RELEASE_TIMEOUT_S):
             await self.roles.close()
         # Callers may go on using an address for as long as they were told.
-        await trio.sleep(ADDRESS_KEEP_MS / 1000)
+        await trio.sleep(self._address_keep_ms / 1000)
         self._close_callers.set()
+        log.info("stop.not_accepting", n_requests=self.gateway.n_open)
         await self._callers_served.wait()
         await self.peers.close()
 
--- a/poplarward/programs/settings.py
+++ b/poplarward/programs/settings.py
@@ -73,6 +73,7 @@
     peers_tls: NotRequired[TlsSettings]
     far_cost_requests: NotRequired[float]
     lease_length_ms: NotRequired[float]
+    address_keep_ms: NotRequired[float]
     log_level: NotRequired[Literal["debug", "info", "warning", "error"]]
 
 
--- a/poplarward/requests/gateway.py
+++ b/poplarward/requests/gateway.py
@@ -38,6 +38,8 @@
         Returns the addresses to name to a caller's IP number, best first.
     metrics : RequestMetrics, optional
         Where the callers' experience is counted.
+    address_keep_ms : float
+        How long callers may use the addresses that they were named.
     """
 
     def __init__(
@@ -47,12 +49,14 @@
         attempts: AttemptLoop,
         entry_addresses: Callable[[str], list[str]],
         metrics: RequestMetrics | None = None,
+        address_keep_ms: float = ADDRESS_KEEP_MS,
     ):
         self._directory = Directory(configuration)
         self._admission = admission
         self._attempts = attempts
         self._entry_addresses = entry_addresses
         self._metrics = metrics or RequestMetrics()
+        self._address_keep_ms = address_keep_ms
         self.n_open = 0
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -72,7 +76,7 @@
     async def _answer(self, request: HttpRequest, responder: Responder) -> None:
         if (request.method, request.path) == ("GET", "/v1/addresses"):
             addresses = self._entry_addresses(request.caller_host)
-            document = {"addresses": addresses, "keep_ms": ADDRESS_KEEP_MS}
+            document = {"addresses": addresses, "keep_ms": self._address_keep_ms}
             await responder.respond_json(200, document)
             return
         if (request.method, request.path) == ("POST", "/v1/keys"):
