--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -71,8 +71,12 @@
         for first in range(0, len(hosts), N_RANKS_PER_GROUP):
             group = hosts[first : first + N_RANKS_PER_GROUP]
             EngineGroup(self.loop, group, self.measures)
+        group_of = {
+            name: f"group-{index // N_RANKS_PER_GROUP}"
+            for index, name in enumerate(names)
+        }
         self.entries = [
-            policy(subset, 1000 * setup.seed + index)
+            policy(subset, 1000 * setup.seed + index, group_of)
             for index, subset in enumerate(subsets)
         ]
         self._rng = random.Random(setup.seed)
--- a/benchmarks/routing_policies.py
+++ b/benchmarks/routing_policies.py
@@ -8,22 +8,34 @@
 
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from poplarward.protocol.reports import AgentReport
 from poplarward.requests.routing.affinity import prefix_homes
 from poplarward.requests.routing.choice import Candidate, choose_candidate
 from poplarward.requests.routing.load import AgentLoad, arriving_requests
+from poplarward.requests.routing.turns import PrefillTurns
 
 from .routing_model import Arrival
 
 __all__ = ["POLICIES", "Policy"]
 
+CLOCK_ERROR_MS = 20.0
 
-class Policy:
-    """Chooses at random; the other policies derive from it."""
 
-    def __init__(self, agents: Sequence[str], seed: int):
+class Policy:
+    """Chooses at random; the other policies derive from it.
+
+    Parameters
+    ----------
+    agents : sequence of str
+        Agents that the entry host is connected to.
+    seed : int
+    group_of : mapping of str to str
+        Rank group of each agent there is.
+    """
+
+    def __init__(self, agents: Sequence[str], seed: int, group_of: Mapping[str, str]):
         self.agents = list(agents)
         self.rng = random.Random(seed)
         self.requests: dict[str, int] = dict.fromkeys(agents, 0)
@@ -47,8 +59,8 @@
 class RoundRobin(Policy):
     """Takes the agents in turn, from a random first one."""
 
-    def __init__(self, agents: Sequence[str], seed: int):
-        super().__init__(agents, seed)
+    def __init__(self, agents: Sequence[str], seed: int, group_of: Mapping[str, str]):
+        super().__init__(agents, seed, group_of)
         self._next = self.rng.randrange(len(self.agents))
 
     def choose(self, arrival: Arrival, now_ms: float) -> str:
@@ -77,19 +89,26 @@
 class Ours(Policy):
     """What an entry host does."""
 
-    def __init__(self, agents: Sequence[str], seed: int):
-        super().__init__(agents, seed)
+    def __init__(self, agents: Sequence[str], seed: int, group_of: Mapping[str, str]):
+        super().__init__(agents, seed, group_of)
         self.loads = {agent: AgentLoad() for agent in agents}
+        self.now_ms = 0.0
+        error_ms = random.Random(seed).uniform(-CLOCK_ERROR_MS, CLOCK_ERROR_MS)
+        self.turns = PrefillTurns(lambda: (self.now_ms + error_ms) / 1000)
+        self.groups = sorted(set(group_of.values()))
+        self.group_of = {agent: group_of[agent] for agent in agents}
 
     def choose(self, arrival: Arrival, now_ms: float) -> str:
         """Return the agent that the entry host would choose."""
         began = time.perf_counter()
+        self.now_ms = now_ms
         candidates = [
             Candidate(agent, load.occupancy) for agent, load in self.loads.items()
         ]
         homes = prefix_homes(str(arrival.prefix), self.agents)
         arriving = arriving_requests(list(self.loads.values()))
-        chosen = choose_candidate(candidates, homes, arriving, self.rng)
+        in_turn = self.turns.in_turn(self.group_of, self.groups)
+        chosen = choose_candidate(candidates, homes, arriving, self.rng, in_turn)
         self.choice_s += time.perf_counter() - began
         assert chosen is not None
         return chosen.name
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -15,6 +15,7 @@
     map_role,
 )
 from ..coordination.expert_maps import GroupHost
+from ..coordination.group_agents import register_group_agents
 from ..coordination.group_set import GroupSet
 from ..operations import (
     DeploymentStatus,
@@ -31,6 +32,7 @@
     Gateway,
     Relay,
     Router,
+    UpstreamPools,
     WorkspaceLimits,
     named_addresses,
 )
@@ -39,7 +41,7 @@
 from ..telemetry import GroupMetrics, RequestMetrics, get_logger
 from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import EntrySettings, peers_network, tls_files
+from .settings import EntrySettings, peers_network, platform_access, tls_files
 from .startup import watch_signals
 
 __all__ = ["EntryHost"]
@@ -79,16 +81,22 @@
             address=Address.parse(settings["peers_listen"]),
             data_centre=settings["data_centre"],
         )
-        self.store = HttpObjectStore(settings["platform_url"])
+        access = platform_access(settings)
+        self.store = HttpObjectStore(settings["platform_url"], access)
         self.writer = Writer(self.store, identity.start_id)
-        self.hosts = HostList(settings["platform_url"])
+        self.hosts = HostList(settings["platform_url"], access)
         self.view = ConfigurationView()
         self.peers = Peers(peers_network(settings), identity, settings["peer_secret"])
         presence = Presence(self.peers, settings["callers_listen"])
         self.membership = Membership(
-            self.peers, presence, self.hosts.hosts_now, seed=identity.start_id
+            self.peers,
+            presence,
+            self.hosts.hosts_now,
+            seed=identity.start_id,
+            n_list_reads=lambda: self.hosts.n_reads,
         )
         self.membership.on_change.append(self._note_member_change)
+        register_group_agents(self.peers, self.hosts.hosts_now)
         self.roles = ControlRoles(
             self.store,
             self.writer,
@@ -112,24 +120,27 @@
 
     def _make_requests(self) -> None:
         agents = AgentTable(self.peers)
+        pools = UpstreamPools(self.view)
         router = Router(
             agents,
             leaving=self._agents_to_avoid,
+            pools=pools,
             data_centre=self._settings["data_centre"],
             far_cost_requests=self._settings.get("far_cost_requests", 0.0),
         )
         self.connections = AgentConnections(
-            self.peers, agents, lambda: self.hosts.hosts.values()
+            self.peers, agents, lambda: self.hosts.hosts.values(), pools
         )
         self.limits = WorkspaceLimits(
             self.peers,
             self.view,
             lambda: [member.identity for member in self.membership.live("entry")],
         )
+        self.attempts = AttemptLoop(self.peers, Relay(self.peers), router)
         self.gateway = Gateway(
             self.view,
             Admission(limits=self.limits),
-            AttemptLoop(self.peers, Relay(self.peers), router),
+            self.attempts,
             self._addresses_to_name,
             self.metrics,
         )
@@ -169,6 +180,7 @@
         await self.configuration.start(nursery)
         await self.roles.start(nursery)
         await self.limits.start(nursery)
+        await self.attempts.start(nursery)
         nursery.start_soon(self.connections.run)
         nursery.start_soon(self._disconnect_gone_agents)
         if "metrics_listen" in self._settings:
--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -253,6 +253,12 @@
         """Outgoing connections that are open."""
         return sum(link.connection is not None for link in self._links.values())
 
+    def open_connections(self) -> list[Connection]:
+        """Return every open connection, whoever opened it, ordered by peer."""
+        links = [link.connection for link in self._links.values()]
+        found = [*self.accepted, *(c for c in links if c is not None)]
+        return sorted(found, key=lambda connection: connection.identity)
+
     def open_connection(self, address: Address) -> Connection | None:
         """Return the open connection to an address, None if there is none."""
         link = self._links.get(address)
--- a/poplarward/requests/caller.py
+++ b/poplarward/requests/caller.py
@@ -19,7 +19,13 @@
 
 
 class CallerRequest(NamedTuple):
-    """A caller's request, checked and given its target and class."""
+    """A caller's request, checked and given its target and class.
+
+    Attributes
+    ----------
+    upstream : str
+        Pool of the upstreams that may answer.
+    """
 
     workspace: str
     upstream: str
@@ -34,6 +40,7 @@
     prefix_digest: str = ""
     share: float = 1.0
     n_tokens: int = 1
+    n_prompt_tokens: int = 0
 
     @property
     def is_keyed(self) -> bool:
--- a/poplarward/requests/routing/affinity.py
+++ b/poplarward/requests/routing/affinity.py
@@ -16,7 +16,7 @@
 
 __all__ = ["N_HOMES", "prefix_digest", "prefix_homes"]
 
-N_HOMES = 2
+N_HOMES = 4
 PREFIX_CHARACTERS = 512
 
 
@@ -35,8 +35,8 @@
 
     Examples
     --------
-    >>> len(prefix_homes("9f", ["agent-1", "agent-2", "agent-3"]))
-    2
+    >>> len(prefix_homes("9f", [f"agent-{i}" for i in range(9)]))
+    4
     >>> prefix_homes("", ["agent-1"])
     ()
     """
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import trio
 
 from ...protocol import RequestId
 from ...protocol.reports import UpstreamState
 from ..caller import CallerRequest
+from ..pools import UpstreamPools
 from .affinity import prefix_homes
 from .choice import Candidate, choose_candidate
 from .load import arriving_requests
 from .table import AgentTable, AgentView
+from .turns import PrefillTurns
 
 __all__ = ["Router"]
 
@@ -33,10 +35,14 @@
         Seed of the random draws.
     leaving : callable
         Returns the names of agents that get no new work whatever they report.
+    pools : UpstreamPools, optional
+        Tells the upstreams that are one pool; without it each is one.
     data_centre : str
         Data centre of the entry host.
     far_cost_requests : float
         By how many requests an agent of another data centre counts as busier.
+    turns : PrefillTurns, optional
+        Which rank groups have their turn for prefills.
     """
 
     def __init__(
@@ -44,14 +50,18 @@
         agents: AgentTable,
         seed: int = 0,
         leaving: Callable[[], Collection[str]] = _none,
+        pools: UpstreamPools | None = None,
         data_centre: str = "",
         far_cost_requests: float = 0.0,
+        turns: PrefillTurns | None = None,
     ):
         self._agents = agents
         self._rng = random.Random(seed)
         self._leaving = leaving
+        self._pools = pools
         self._data_centre = data_centre
         self._far_cost_requests = far_cost_requests
+        self._turns = turns or PrefillTurns()
 
     def choose(
         self, request: CallerRequest, excluded: frozenset[str] = frozenset()
@@ -67,18 +77,18 @@
         ]
         arriving = arriving_requests([view.load for view in views.values()])
         homes = prefix_homes(request.prefix_digest, views)
-        chosen = choose_candidate(candidates, homes, arriving, self._rng)
+        in_turn = self._in_turn(request.upstream, views)
+        chosen = choose_candidate(candidates, homes, arriving, self._rng, in_turn)
         return None if chosen is None else views[chosen.name]
 
-    def live_agents(
-        self, upstream: str, excluded: Collection[str] = ()
-    ) -> list[AgentView]:
-        """Return the agents that take new work and are not excluded by name."""
+    def live_agents(self, pool: str, excluded: Collection[str] = ()) -> list[AgentView]:
+        """Return a pool's agents that take new work and are not excluded by name."""
         barred = {*excluded, *self._leaving()}
         return [
             view
-            for view in self._agents.views(upstream)
+            for view in self._agents.views()
             if view.report.state is UpstreamState.LIVE
+            and self._pool_of(view) == pool
             and view.identity.name not in barred
         ]
 
@@ -90,6 +100,17 @@
         """Count an attempt at an agent out."""
         agent.load.end(request_id.sequence)
 
+    def _pool_of(self, view: AgentView) -> str:
+        upstream = view.report.upstream
+        return self._pools.of_upstream(upstream) if self._pools else upstream
+
+    def _in_turn(self, pool: str, views: Mapping[str, AgentView]) -> set[str]:
+        """Return the agents whose rank group has its turn for prefills."""
+        if self._pools is None:
+            return set()
+        group_of = {name: view.report.upstream for name, view in views.items()}
+        return self._turns.in_turn(group_of, self._pools.groups(pool))
+
     def _load(self, view: AgentView, mean_slots: float) -> float:
         """Return the requests in hand, as if all agents had the mean of slots."""
         load = view.load.occupancy * mean_slots / max(1, view.report.n_slots)
