--- a/poplarward/protocol/peers.py
+++ b/poplarward/protocol/peers.py
@@ -104,7 +104,8 @@
         await self._channel.close()
 
     async def _send(self, kind: int, call_id: int, array: Any) -> None:
-        data = cbor2.dumps([kind, call_id, array])
+        # The canonical form takes the fewest bytes that hold a number.
+        data = cbor2.dumps([kind, call_id, array], canonical=True)
         try:
             async with self._send_lock:
                 await self._channel.send(data)
@@ -320,6 +321,9 @@
 
     async def call(self, address: Address, value: Any, timeout_ms: float) -> Any:
         """Send a message and return its reply; see `Connection.call`."""
+        open_one = self.open_connection(address)
+        if open_one is not None:
+            return await open_one.call(value, timeout_ms)
         with trio.move_on_after(timeout_ms / 1000):
             connection = await self.connection(address)
             return await connection.call(value, timeout_ms)
