Let suspects run at few agents, away from others, and one after another

Suspects ran at all engines; a fresh crasher beside a suspect got the suspect refused; and second crashes came as fast as the first.

Change: one agent in eight runs an upstream's suspects, others get no requests while they have some, as long as another agent is live (n_suspects in the load report). A suspect waits up to 10 s while less than half of the agents are live. A suspect ends its turn early only if those waiting would else miss their deadlines.

--- a/poplarward/protocol/reports.py
+++ b/poplarward/protocol/reports.py
@@ -55,6 +55,8 @@
         Greatest sequence number that the agent received on this connection.
     n_received : int
         Requests received since the agent's start.
+    n_suspects : int
+        Requests in hand that were on an upstream when it crashed.
     """
 
     upstream_kind: UpstreamKind
@@ -69,3 +71,4 @@
     report_number: int
     last_sequence: int = 0
     n_received: int = 0
+    n_suspects: int = 0
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -8,7 +8,6 @@
 import trio
 
 from ..errors import PeerUnreachable
-from ..hashing import rendezvous_ranking
 from ..protocol import Connection, Peers, RequestId
 from ..protocol.reports import UpstreamKind
 from ..protocol.requests import End, Head, Outcome, Refusal, Submit
@@ -41,6 +40,8 @@
 DEADLINE_GRACE_MS = 250.0
 QUIET_LIMIT_MS = 2_000.0
 END_GRACE_MS = 250.0
+SPARE_TIMEOUT_MS = 10_000.0
+SPARE_POLL_MS = 100.0
 
 REFUSALS = {
     Refusal.CRASHES_UPSTREAMS: (422, True),
@@ -158,6 +159,11 @@
             if verdict is Verdict.CONVICTED:
                 last = self._refuse(progress)
                 break
+            if verdict is Verdict.SUSPECT:
+                await self._wait_for_spare(progress)
+                verdict = self._verdict(progress)
+                if verdict is Verdict.CONVICTED:
+                    continue
             agent = self._choose(progress, verdict is Verdict.SUSPECT)
             if agent is None:
                 if request.is_keyed and read_issued_key(request.idempotency_key):
@@ -189,6 +195,16 @@
             return None
         return self.suspects.verdict(progress.digest)
 
+    async def _wait_for_spare(self, progress: _Progress) -> None:
+        """Wait a while until a crash would leave enough agents for the others."""
+        ends_at = min(
+            progress.expires_at, trio.current_time() + SPARE_TIMEOUT_MS / 1000
+        )
+        while trio.current_time() < ends_at:
+            if self._router.has_spare(progress.request.upstream):
+                return
+            await trio.sleep(SPARE_POLL_MS / 1000)
+
     def _refuse(self, progress: _Progress) -> Failure:
         """Return the answer to a request that crashes upstreams."""
         log.info("request.refused", digest=f"{progress.digest:016x}")
@@ -201,16 +217,16 @@
     def _choose(self, progress: _Progress, is_suspect: bool) -> AgentView | None:
         """Return the agent for the next attempt, or None."""
         request = progress.request
-        if not request.is_keyed and not is_suspect:
+        if not request.is_keyed:
+            if is_suspect:
+                return self._router.choose_for_suspect(
+                    request.upstream, progress.digest, progress.excluded
+                )
             return self._router.choose(request, frozenset(progress.excluded))
         live = {
             view.identity.name: view
             for view in self._router.live_agents(request.upstream, progress.excluded)
         }
-        if not request.is_keyed:
-            # All entry hosts send a suspect to the same agent, which runs it once.
-            ranking = rendezvous_ranking(f"{progress.digest:x}", live)
-            return live[ranking[0]] if ranking else None
         owners = rank_owners(
             request.upstream,
             request.workspace,
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -233,4 +233,5 @@
             kv_bytes_used=0,
             kv_bytes_limit=0,
             report_number=0,
+            n_suspects=sum(a.is_suspect for a in self._attempts.values()),
         )
--- a/poplarward/requests/in_hand.py
+++ b/poplarward/requests/in_hand.py
@@ -21,6 +21,8 @@
         Whether the upstream may have received it.
     barred : bool
         Whether it was promised that it never starts.
+    is_suspect : bool
+        Whether it was on an upstream that crashed.
     has_crashed : bool
         Whether the upstream crashed while it ran.
     turn : Turn, optional
@@ -35,6 +37,7 @@
         self.ended = trio.Event()
         self.started = False
         self.barred = False
+        self.is_suspect = False
         self.has_crashed = False
         self.turn: Turn | None = None
         self.n_pieces = submit.n_pieces_received
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ...hashing import rendezvous_ranking
 from ...protocol import RequestId
 from ...protocol.reports import UpstreamState
 from ..caller import CallerRequest
@@ -17,6 +18,9 @@
 
 __all__ = ["Router"]
 
+AGENTS_PER_SUSPECT_AGENT = 8
+MIN_LIVE_SHARE = 0.5
+
 
 def _none() -> Collection[str]:
     return ()
@@ -62,7 +66,9 @@
     ) -> AgentView | None:
         """Return an agent that is not excluded by name, or None."""
         live = self.live_agents(request.upstream, excluded)
-        views = {view.identity.name: view for view in live}
+        # Whoever is beside a suspect shares its crash, and can't be told from it.
+        calm = [view for view in live if not view.report.n_suspects]
+        views = {view.identity.name: view for view in calm or live}
         if not views:
             return None
         n_slots = sum(view.report.n_slots for view in views.values()) / len(views)
@@ -74,6 +80,30 @@
         chosen = choose_candidate(candidates, homes, arriving, self._rng)
         return None if chosen is None else views[chosen.name]
 
+    def choose_for_suspect(
+        self, upstream: str, digest: int, excluded: Collection[str]
+    ) -> AgentView | None:
+        """Return the agent at which all entry hosts let a suspect run, or None.
+
+        A few agents of each upstream run all of its suspects.
+        """
+        live = {
+            view.identity.name: view for view in self.live_agents(upstream, excluded)
+        }
+        if not live:
+            return None
+        n_agents = max(1, len(live) // AGENTS_PER_SUSPECT_AGENT)
+        chosen = rendezvous_ranking(upstream, live)[:n_agents]
+        return live[rendezvous_ranking(f"{digest:x}", chosen)[0]]
+
+    def has_spare(self, upstream: str) -> bool:
+        """Whether the upstream can bear the loss of another agent."""
+        n_live = len(self.live_agents(upstream))
+        known = [
+            view for view in self._agents.views() if view.report.upstream == upstream
+        ]
+        return n_live >= MIN_LIVE_SHARE * len(known)
+
     def live_agents(self, pool: str, excluded: Collection[str] = ()) -> list[AgentView]:
         """Return a pool's agents that take new work and are not excluded by name."""
         barred = {*excluded, *self._leaving()}
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -79,8 +79,9 @@
 
     async def _run_in_turn(self, attempt: AttemptInHand, digest: int) -> End | None:
         """Run a suspect when no other one does; returns its end."""
+        attempt.is_suspect = True
         is_strict = self._suspects.n_crashes(digest) > 1
-        async with self._lane.turn(is_strict) as turn:
+        async with self._lane.turn(is_strict, attempt.scope.deadline) as turn:
             if self._suspects.verdict(digest) is Verdict.CONVICTED:
                 return crash_refused(attempt.submit, self._suspects.left_ms(digest))
             attempt.turn = turn
--- a/poplarward/requests/suspects/lane.py
+++ b/poplarward/requests/suspects/lane.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -9,7 +10,50 @@
 
 __all__ = ["SuspectLane", "Turn"]
 
-PROBATION_MS = 1_000.0
+MIN_TURN_MS = 1_000.0
+WAITING_SHARE = 0.5
+
+
+class SuspectLane:
+    """The one place in which suspects run at an upstream.
+
+    Others wait until a suspect has ended, unless they would miss their deadlines: a
+    suspect that has answered for its share of the time left lets the next one begin
+    beside it. One suspected for a second crash never does.
+    """
+
+    def __init__(self) -> None:
+        self._place = trio.Semaphore(1)
+        self._waiting: list[float] = []
+
+    @asynccontextmanager
+    async def turn(self, is_strict: bool, expires_at: float) -> AsyncIterator[Turn]:
+        """Wait for a turn and hold it for the length of a block, or until it ends.
+
+        `expires_at` is when the suspect's answer has to be whole.
+        """
+        self._waiting.append(expires_at)
+        try:
+            await self._place.acquire()
+        finally:
+            self._waiting.remove(expires_at)
+        turn = Turn(self, is_strict)
+        try:
+            yield turn
+        finally:
+            turn.end()
+
+    def turn_s(self) -> float:
+        """Return how long a suspect may answer while others wait."""
+        if not self._waiting:
+            return math.inf
+        left_s = min(self._waiting) - trio.current_time()
+        share_s = left_s * WAITING_SHARE / len(self._waiting)
+        return max(MIN_TURN_MS / 1000, share_s)
+
+    def leave(self) -> None:
+        """Let the next suspect begin."""
+        self._place.release()
 
 
 class Turn:
@@ -17,50 +61,28 @@
 
     Parameters
     ----------
-    places : trio.Semaphore
-        Released when the turn is over.
+    lane : SuspectLane
     is_strict : bool
         Whether the turn lasts until the suspect has ended.
     """
 
-    def __init__(self, places: trio.Semaphore, is_strict: bool):
-        self._places = places
+    def __init__(self, lane: SuspectLane, is_strict: bool):
+        self._lane = lane
         self._is_strict = is_strict
         self._is_over = False
         self._first_piece_at: float | None = None
 
     def note_piece(self) -> None:
-        """Note a piece of the suspect's answer; the next may run after a while."""
+        """Note a piece of the suspect's answer."""
         now = trio.current_time()
         if self._first_piece_at is None:
             self._first_piece_at = now
-        if not self._is_strict and now >= self._first_piece_at + PROBATION_MS / 1000:
+        is_due = now >= self._first_piece_at + self._lane.turn_s()
+        if is_due and not self._is_strict:
             self.end()
 
     def end(self) -> None:
-        """Let the next suspect run."""
+        """Let the next suspect begin, if that was not done."""
         if not self._is_over:
             self._is_over = True
-            self._places.release()
-
-
-class SuspectLane:
-    """The one place in which suspects run at an upstream.
-
-    A suspect that answers for `PROBATION_MS` lets the next one begin beside it, since
-    most crashes come with a request's first step and a long stream must not hold up
-    the others until their deadlines. One suspected for a second crash never does.
-    """
-
-    def __init__(self) -> None:
-        self._places = trio.Semaphore(1)
-
-    @asynccontextmanager
-    async def turn(self, is_strict: bool) -> AsyncIterator[Turn]:
-        """Wait for a turn and hold it for the length of a block, or until it ends."""
-        await self._places.acquire()
-        turn = Turn(self._places, is_strict)
-        try:
-            yield turn
-        finally:
-            turn.end()
+            self._lane.leave()
