--- a/benchmarks/memory_path.py
+++ b/benchmarks/memory_path.py
@@ -203,11 +203,14 @@
         client,
         n_slots=8,
         payments=None,
+        kv_limit_tokens=0,
         **options,
     ):
         """Start an agent, or a new start of it; returns its executor and scope."""
         peers = self._peers("agent", name, host)
-        settings = UpstreamSettings(UpstreamKind(kind), upstream, "", n_slots)
+        settings = UpstreamSettings(
+            UpstreamKind(kind), upstream, "", n_slots, kv_limit_tokens=kv_limit_tokens
+        )
         if payments is not None:
             options["payments"] = payments(peers.identity)
         executor = Executor(peers, settings, client, **options)
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -289,7 +289,9 @@
             n_pieces_received=progress.answer.n_pieces,
             share=request.share,
             n_tokens=request.n_tokens,
+            n_prompt_tokens=request.n_prompt_tokens,
             is_suspect=self._verdict(progress) is Verdict.SUSPECT,
+            pool=request.upstream,
         )
 
     async def _follow(
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -36,6 +36,7 @@
 __all__ = ["Executor"]
 
 DRAIN_POLL_MS = 50.0
+LEAVING_POLL_MS = 100.0
 FLUSH_TIMEOUT_MS = 5_000.0
 
 log = get_logger("executor")
@@ -56,8 +57,9 @@
         Lets the calls of each idempotency key run at most once.
     suspects : SuspectTable, optional
         Verdicts on requests that were on an upstream when it crashed.
-    is_stopping : callable, optional
-        Returns whether the upstream is being stopped on purpose.
+    standing : callable, optional
+        Returns whether the agent's host may take new work, for reasons outside of
+        the executor.
     """
 
     def __init__(
@@ -67,11 +69,12 @@
         client: UpstreamClient | None = None,
         payments: Payments | None = None,
         suspects: SuspectTable | None = None,
-        is_stopping: Callable[[], bool] = lambda: False,
+        standing: Callable[[], UpstreamState] = lambda: UpstreamState.LIVE,
     ):
         self.suspects = suspects or SuspectTable()
         self._spread = SuspectSpread(peers, self.suspects)
         self._is_leaving = False
+        self._standing = standing
         self._health = UpstreamHealth()
         self._peers = peers
         self._settings = settings
@@ -83,7 +86,7 @@
             self._health,
             self._note_refusal,
             self.suspects,
-            lambda: self._is_leaving or is_stopping(),
+            lambda: self.state is UpstreamState.LEAVING,
             payments,
         )
         self._attempts: dict[RequestId, AttemptInHand] = {}
@@ -104,6 +107,9 @@
         """Whether new attempts are taken."""
         if self._is_leaving:
             return UpstreamState.LEAVING
+        standing = self._standing()
+        if standing is not UpstreamState.LIVE:
+            return standing
         is_down = self._health.is_down(trio.current_time() * 1000)
         return UpstreamState.DOWN if is_down else UpstreamState.LIVE
 
@@ -119,6 +125,7 @@
             await self._payments.start(nursery)
         nursery.start_soon(self._reporter.run)
         nursery.start_soon(self._spread.run)
+        nursery.start_soon(self._hand_back_while_leaving)
 
     async def close(self) -> None:
         """Close the connections to the upstream."""
@@ -127,12 +134,25 @@
     async def drain(self) -> None:
         """Take no new attempts and return when those in hand have ended."""
         self._is_leaving = True
+        self._hand_back()
         await self._reporter.report_now()
         while self._attempts:
             await trio.sleep(DRAIN_POLL_MS / 1000)
         if self._payments and not await self._payments.flush(FLUSH_TIMEOUT_MS):
             log.warning("drain.unflushed", upstream=self._settings.name)
 
+    async def _hand_back_while_leaving(self) -> None:
+        while True:
+            if self.state is UpstreamState.LEAVING:
+                self._hand_back()
+            await trio.sleep(LEAVING_POLL_MS / 1000)
+
+    def _hand_back(self) -> None:
+        """End what waits for a slot, but for calls that only this agent may run."""
+        for attempt in list(self._attempts.values()):
+            if not attempt.started and not attempt.is_keyed:
+                attempt.hand_back()
+
     async def _on_submit(self, connection: Connection, submit: Submit) -> None:
         assert self._nursery is not None
         request_id = submit.request_id
--- a/poplarward/requests/in_hand.py
+++ b/poplarward/requests/in_hand.py
@@ -5,7 +5,7 @@
 import trio
 
 from ..protocol import Connection
-from ..protocol.requests import Head, Submit
+from ..protocol.requests import Head, Refusal, Submit
 from .packing import PiecePacker
 from .suspects import Turn, request_digest
 
@@ -27,6 +27,8 @@
         Whether the upstream crashed while it ran.
     turn : Turn, optional
         Its turn among the suspects.
+    refusal : Refusal
+        Why the agent ended it, if it did.
     """
 
     def __init__(self, submit: Submit, connection: Connection, packer: PiecePacker):
@@ -40,6 +42,7 @@
         self.is_suspect = False
         self.has_crashed = False
         self.turn: Turn | None = None
+        self.refusal = Refusal.NONE
         self.n_pieces = submit.n_pieces_received
         self.head: Head | None = None
         self.body: list[bytes] = []
@@ -54,13 +57,18 @@
         """Whether the upstream has begun its answer."""
         return self.n_pieces > self.submit.n_pieces_received
 
-    def digest(self, upstream: str) -> int:
+    def digest(self) -> int:
         """Return the number that names the request in all of its attempts."""
         submit = self.submit
         return request_digest(
-            upstream, submit.workspace, submit.method, submit.path, submit.body
+            submit.pool, submit.workspace, submit.method, submit.path, submit.body
         )
 
+    def hand_back(self) -> None:
+        """Stop it, so that the entry host runs it at another agent."""
+        self.refusal = Refusal.LEAVING
+        self.stop()
+
     def stop(self) -> None:
         """Stop it, unless it is running and may not be repeated."""
         if not self.started:
--- a/poplarward/requests/pools.py
+++ b/poplarward/requests/pools.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from ..state import ConfigurationView
 
 __all__ = ["UpstreamPools"]
@@ -28,6 +30,7 @@
         self._built_at_change = -1
         self._pool_of_model: dict[str, str] = {}
         self._pool_of_group: dict[str, str] = {}
+        self._groups_of_pool: dict[str, list[str]] = {}
 
     def of_upstream(self, upstream: str) -> str:
         """Return the pool of a model group or plain service, by name."""
@@ -39,6 +42,11 @@
         self._refresh()
         return self._pool_of_model.get(model)
 
+    def groups(self, pool: str) -> Sequence[str]:
+        """Return the model groups of a pool, by name; none for a plain service."""
+        self._refresh()
+        return self._groups_of_pool.get(pool, ())
+
     def by_group(self) -> dict[str, str]:
         """Return the pool of each model group; the same object until one changes."""
         self._refresh()
@@ -60,3 +68,6 @@
         }
         if pools != self._pool_of_group:
             self._pool_of_group = pools
+            self._groups_of_pool = {}
+            for name in sorted(pools):
+                self._groups_of_pool.setdefault(pools[name], []).append(name)
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import trio
 
@@ -11,10 +11,12 @@
 from ...protocol import RequestId
 from ...protocol.reports import UpstreamState
 from ..caller import CallerRequest
+from ..pools import UpstreamPools
 from .affinity import prefix_homes
 from .choice import Candidate, choose_candidate
 from .load import arriving_requests
 from .table import AgentTable, AgentView
+from .turns import PrefillTurns
 
 __all__ = ["Router"]
 
@@ -37,12 +39,14 @@
         Seed of the random draws.
     leaving : callable
         Returns the names of agents that get no new work whatever they report.
-    pool_of : callable
-        Returns the pool of a model group or plain service.
+    pools : UpstreamPools, optional
+        Tells the upstreams that are one pool; without it each is one.
     data_centre : str
         Data centre of the entry host.
     far_cost_requests : float
         By how many requests an agent of another data centre counts as busier.
+    turns : PrefillTurns, optional
+        Which rank groups have their turn for prefills.
     """
 
     def __init__(
@@ -50,16 +54,18 @@
         agents: AgentTable,
         seed: int = 0,
         leaving: Callable[[], Collection[str]] = _none,
-        pool_of: Callable[[str], str] = str,
+        pools: UpstreamPools | None = None,
         data_centre: str = "",
         far_cost_requests: float = 0.0,
+        turns: PrefillTurns | None = None,
     ):
         self._agents = agents
         self._rng = random.Random(seed)
         self._leaving = leaving
-        self._pool_of = pool_of
+        self._pools = pools
         self._data_centre = data_centre
         self._far_cost_requests = far_cost_requests
+        self._turns = turns or PrefillTurns()
 
     def choose(
         self, request: CallerRequest, excluded: frozenset[str] = frozenset()
@@ -77,7 +83,8 @@
         ]
         arriving = arriving_requests([view.load for view in views.values()])
         homes = prefix_homes(request.prefix_digest, views)
-        chosen = choose_candidate(candidates, homes, arriving, self._rng)
+        in_turn = self._in_turn(request.upstream, views)
+        chosen = choose_candidate(candidates, homes, arriving, self._rng, in_turn)
         return None if chosen is None else views[chosen.name]
 
     def choose_for_suspect(
@@ -111,7 +118,7 @@
             view
             for view in self._agents.views()
             if view.report.state is UpstreamState.LIVE
-            and self._pool_of(view.report.upstream) == pool
+            and self._pool_of(view) == pool
             and view.identity.name not in barred
         ]
 
@@ -123,6 +130,17 @@
         """Count an attempt at an agent out."""
         agent.load.end(request_id.sequence)
 
+    def _pool_of(self, view: AgentView) -> str:
+        upstream = view.report.upstream
+        return self._pools.of_upstream(upstream) if self._pools else upstream
+
+    def _in_turn(self, pool: str, views: Mapping[str, AgentView]) -> set[str]:
+        """Return the agents whose rank group has its turn for prefills."""
+        if self._pools is None:
+            return set()
+        group_of = {name: view.report.upstream for name, view in views.items()}
+        return self._turns.in_turn(group_of, self._pools.groups(pool))
+
     def _load(self, view: AgentView, mean_slots: float) -> float:
         """Return the requests in hand, as if all agents had the mean of slots."""
         load = view.load.occupancy * mean_slots / max(1, view.report.n_slots)
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -13,6 +13,7 @@
 from .ends import CRASH_REASON, crash_refused, overloaded, replay
 from .health import UpstreamHealth
 from .in_hand import AttemptInHand
+from .kv_admission import KvMemory, KvShare
 from .payments import Declined, Payments, Recorded
 from .slots import Demand, FairSlots
 from .suspects import CrashWatch, SuspectLane, SuspectTable
@@ -52,7 +53,8 @@
         payments: Payments | None = None,
     ):
         self._upstream = upstream
-        self._slots = FairSlots(n_slots)
+        memory = KvMemory(upstream.settings.kv_limit_tokens)
+        self._slots = FairSlots(n_slots, memory)
         self._health = health
         self._refused = refused
         self._suspects = suspects
@@ -64,7 +66,7 @@
         """Run an attempt; returns its end, None if it was stopped."""
         if self._suspects.is_empty and not attempt.submit.is_suspect:
             return await self._run_by_key(attempt)
-        digest = attempt.digest(self._upstream.settings.name)
+        digest = attempt.digest()
         verdict = self._suspects.verdict(digest)
         if verdict is None and attempt.submit.is_suspect:
             # The entry host was told, and this agent not yet.
@@ -123,7 +125,7 @@
             return overloaded(attempt, error)
 
     async def _run_with_slot(self, attempt: AttemptInHand) -> End | None:
-        async with self._slots.hold(_demand(attempt.submit)):
+        async with self._slots.hold(_demand(attempt.submit)) as share:
             # A slot may be handed over in the same step as the bar was answered.
             if attempt.barred:
                 return None
@@ -131,17 +133,17 @@
             if not attempt.submit.repeatable:
                 # Its outcome is worth more than the deadline.
                 attempt.scope.deadline = trio.current_time() + 1e9
-            return await self._forward(attempt)
+            return await self._forward(attempt, share)
 
-    async def _forward(self, attempt: AttemptInHand) -> End:
+    async def _forward(self, attempt: AttemptInHand, share: KvShare) -> End:
         """Forward one attempt; returns its end."""
         with self._watch.running() as number:
             try:
-                return await self._pass_on(attempt)
+                return await self._pass_on(attempt, share)
             except UpstreamUnreachable as error:
                 return await self._broke_off(attempt, number, error)
 
-    async def _pass_on(self, attempt: AttemptInHand) -> End:
+    async def _pass_on(self, attempt: AttemptInHand, share: KvShare) -> End:
         submit = attempt.submit
         async with self._upstream.forward(submit) as answer:
             self._health.succeeded()
@@ -153,12 +155,13 @@
                     submit.request_id, attempt.n_pieces, piece, answer.has_events
                 )
                 attempt.n_pieces += 1
+                share.grow()
                 if attempt.is_keyed:
                     attempt.body.append(piece)
                 if attempt.turn is not None:
                     attempt.turn.note_piece()
         if not self._suspects.is_empty:
-            self._suspects.clear(attempt.digest(self._upstream.settings.name))
+            self._suspects.clear(attempt.digest())
         return End(submit.request_id, Outcome.RAN, attempt.n_pieces)
 
     async def _broke_off(
@@ -171,7 +174,7 @@
         end = End(submit.request_id, outcome, attempt.n_pieces, f"upstream: {error}")
         if not error.broke_off:
             return end
-        digest = attempt.digest(self._upstream.settings.name)
+        digest = attempt.digest()
         attempt.has_crashed = await self._watch.broke_off(number, digest)
         if not attempt.has_crashed:
             return end
@@ -192,4 +195,6 @@
         submit.share,
         max(1, submit.n_tokens),
         submit.deadline_ms,
+        # A resumed answer is in the engine's memory as if it were prompt.
+        submit.n_prompt_tokens + submit.n_pieces_received,
     )
--- a/poplarward/requests/suspects/table.py
+++ b/poplarward/requests/suspects/table.py
@@ -18,7 +18,7 @@
 
 
 def request_digest(
-    upstream: str, workspace: str, method: str, path: str, body: bytes
+    pool: str, workspace: str, method: str, path: str, body: bytes
 ) -> int:
     """Return a number by which all processes name a request, however often it is sent.
 
@@ -33,7 +33,7 @@
     False
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (upstream, workspace, method, path):
+    for part in (pool, workspace, method, path):
         encoded = part.encode(errors="surrogatepass")
         digest.update(len(encoded).to_bytes(4))
         digest.update(encoded)
--- a/poplarward/requests/upstream.py
+++ b/poplarward/requests/upstream.py
@@ -41,6 +41,8 @@
         Requests that it runs at once.
     access : HttpAccess
         What it asks of its clients.
+    kv_limit_tokens : int
+        Tokens that an engine's memory holds; 0 for no limit.
     """
 
     kind: UpstreamKind
@@ -48,6 +50,7 @@
     url: str
     n_slots: int
     access: HttpAccess = HttpAccess()
+    kv_limit_tokens: int = 0
 
 
 class UpstreamClient(Protocol):
