--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -9,6 +9,8 @@
   --entries E  Entry hosts [default: 13].
   --lag-ms L   Age of a report when it arrives [default: 50].
   --loss P     Share of the reports that are lost [default: 0.02].
+  --delay-ms D  One-way delay between data centres [default: 0].
+  --far-cost F  Requests by which ours counts a far agent as busier [default: 0].
   --seconds S  Length of the arrivals [default: 30].
   --seed N     Seed of the arrivals and choices [default: 1].
   --json       Print one JSON document (always so).
@@ -44,6 +46,7 @@
 
 N_RANKS_PER_GROUP = 8
 WARM_UP_MS = 3_000.0
+N_DATA_CENTRES = 3
 
 
 class Setup(NamedTuple):
@@ -55,6 +58,8 @@
     loss: float
     duration_ms: float
     seed: int
+    delay_ms: float = 0.0
+    far_cost_requests: float = 0.0
 
 
 class _Run:
@@ -79,6 +84,10 @@
             policy(subset, 1000 * setup.seed + index, group_of)
             for index, subset in enumerate(subsets)
         ]
+        for index, entry in enumerate(self.entries):
+            for name in names:
+                if self._delay_ms(index, name):
+                    entry.far_costs[name] = setup.far_cost_requests
         self._rng = random.Random(setup.seed)
         self._sequence = 0
         for index, subset in enumerate(subsets):
@@ -94,7 +103,23 @@
         self._sequence += 1
         sequence = self._sequence
         entry.begin(agent, sequence, self.loop.now_ms)
-        self.hosts[agent].submit(arrival, sequence, lambda: entry.end(agent, sequence))
+        submit = self.hosts[agent].submit
+        delay_ms = self._delay_ms(arrival.entry, agent)
+        if not delay_ms:
+            submit(arrival, sequence, lambda: entry.end(agent, sequence))
+            return
+
+        def end() -> None:
+            self.loop.at(self.loop.now_ms + delay_ms, entry.end, agent, sequence)
+
+        # The way back is added to the time to the first token by an earlier arrival.
+        sent = arrival._replace(at_ms=arrival.at_ms - delay_ms)
+        self.loop.at(self.loop.now_ms + delay_ms, submit, sent, sequence, end)
+
+    def _delay_ms(self, entry: int, agent: str) -> float:
+        group = int(agent.removeprefix("agent-")) // N_RANKS_PER_GROUP
+        is_near = entry % N_DATA_CENTRES == group % N_DATA_CENTRES
+        return 0.0 if is_near else self.setup.delay_ms
 
     def _report(self, name: str, index: int, interval_ms: float) -> None:
         report = self.hosts[name].report(index)
@@ -178,6 +203,8 @@
         loss=float(arguments["--loss"]),
         duration_ms=1000 * float(arguments["--seconds"]),
         seed=int(arguments["--seed"]),
+        delay_ms=float(arguments["--delay-ms"]),
+        far_cost_requests=float(arguments["--far-cost"]),
     )
     requests = arrivals(setup.n_hosts, setup.n_entries, setup.duration_ms, setup.seed)
     results = {
--- a/benchmarks/routing_policies.py
+++ b/benchmarks/routing_policies.py
@@ -41,6 +41,7 @@
         self.rng = random.Random(seed)
         self.requests: dict[str, int] = dict.fromkeys(agents, 0)
         self.choice_s = 0.0
+        self.far_costs: dict[str, float] = {}
 
     def choose(self, arrival: Arrival, now_ms: float) -> str:
         """Return the agent that runs a request."""
@@ -104,7 +105,8 @@
         began = time.perf_counter()
         self.now_ms = now_ms
         candidates = [
-            Candidate(agent, load.occupancy) for agent, load in self.loads.items()
+            Candidate(agent, load.occupancy + self.far_costs.get(agent, 0.0))
+            for agent, load in self.loads.items()
         ]
         homes = prefix_homes(str(arrival.prefix), self.agents)
         arriving = arriving_requests(list(self.loads.values()))
