Spread a change to a few entry hosts in each turn of the event loop

Cause: a change is sent to every entry host of the data centre and to two of each other: 89 at 1,000 entry hosts and 311 at 5,000. All sends started in one turn, and a send over a websocket takes some 0.3 to 0.5 ms, so one turn took 27 to 155 ms (worked out) against 44.

Ruled out: a limit on sends under way; hosts that are away hold theirs for 3 s, so the loss of a rack would be known late.

Change: 16 sends start in a turn.

Before and after, in the new test with 160 receivers: 150 sends in one turn of the loop -> at most 32 (the test was red before); real times not measured.

Conclusion: at most 16 ms a turn, by the cost of a send above.

--- a/poplarward/coordination/membership/spreading.py
+++ b/poplarward/coordination/membership/spreading.py
@@ -24,6 +24,7 @@
 FLUSH_INTERVAL_MS = 200.0
 PULL_TIMEOUT_MS = 3000.0
 MAX_DIFFERENCES = 3
+SENDS_PER_TURN = 16
 
 
 class Spreader:
@@ -64,13 +65,17 @@
         """Send what waits to be sent."""
         to_all, self._to_all = list(self._to_all.values()), {}
         to_near, self._to_near = list(self._to_near.values()), {}
+        to_send: list[tuple[Address, list[MemberRecord]]] = []
+        if to_all:
+            to_send += [(a, to_all) for a in self._near() + self._far_delegates()]
+        if to_near:
+            to_send += [(address, to_near) for address in self._near()]
         async with trio.open_nursery() as nursery:
-            if to_all:
-                for address in self._near() + self._far_delegates():
-                    nursery.start_soon(self.notify, address, MemberUpdates(to_all))
-            if to_near:
-                for address in self._near():
-                    nursery.start_soon(self.notify, address, MemberUpdates(to_near))
+            for n_started, (address, records) in enumerate(to_send, start=1):
+                nursery.start_soon(self.notify, address, MemberUpdates(records))
+                # All that start in one turn of the event loop hold it together.
+                if n_started % SENDS_PER_TURN == 0:
+                    await trio.lowlevel.checkpoint()
 
     async def notify(self, address: Address, update: object) -> None:
         """Send a message whose loss later digests make good."""
--- /dev/null
+++ b/tests/coordination/membership/test_spreading.py
@@ -0,0 +1,59 @@
+"""A change goes to every entry host, and others run between the sends."""
+
+from __future__ import annotations
+
+import trio
+
+from poplarward.coordination.membership import MemberRecord, MemberState
+from poplarward.coordination.membership.spreading import SENDS_PER_TURN, Spreader
+from poplarward.coordination.membership.table import MemberTable
+from poplarward.protocol import ProcessIdentity
+from poplarward.transport import Address
+
+N_ENTRIES = 10 * SENDS_PER_TURN
+
+
+class CountingPeers:
+    """Notes for each send how many turns of the event loop had passed."""
+
+    def __init__(self):
+        address = Address("10.0.0.1", 0)
+        self.identity = ProcessIdentity("entry", "entry-0", 1, address, "rennes")
+        self.n_turns = 0
+        self.sent = []
+
+    def register(self, message_type, handler):
+        pass
+
+    async def notify(self, address, update):
+        self.sent.append((self.n_turns, address.port))
+
+    async def count_turns(self):
+        while True:
+            self.n_turns += 1
+            await trio.lowlevel.checkpoint()
+
+
+async def test_many_sends_take_several_turns(nursery):
+    peers, table = CountingPeers(), MemberTable()
+    table.merge(
+        MemberRecord(
+            f"entry-{i}",
+            "entry",
+            "rennes",
+            Address("10.0.0.1", i),
+            "",
+            1,
+            1,
+            MemberState.LIVE,
+        )
+        for i in range(N_ENTRIES + 1)
+    )
+    spreader = Spreader(peers, table, table.merge)
+    nursery.start_soon(peers.count_turns)
+    spreader.publish([table.records["entry-1"]])
+    await spreader.flush()
+    assert sorted(port for _, port in peers.sent) == list(range(1, N_ENTRIES + 1))
+    turns = [turn for turn, _ in peers.sent]
+    assert max(turns.count(turn) for turn in set(turns)) <= 2 * SENDS_PER_TURN
+    nursery.cancel_scope.cancel()
