--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,13 +1,14 @@
 """Cost of membership for each host, and how soon and how rightly it judges.
 
 Usage:
-  membership [--json] [--seed N] [--sizes LIST] [--near N]
+  membership [--json] [--seed N] [--sizes LIST] [--near N] [--cost-only]
 
 Options:
   --json        Print one JSON document (the only form).
   --seed N      Seed of every random choice [default: 1].
   --sizes LIST  Numbers of entry hosts, by comma [default: 8,16,32,64].
   --near N      Entry hosts of a data centre [default: 8].
+  --cost-only   Kill and delay nothing, which takes long with many hosts.
 
 Entry hosts and agents run on memory channels in virtual time. Messages, bytes and
 judgements are the same on every run with one seed; processor time is not. It is that
@@ -126,7 +127,9 @@
         return (trio.current_time() - started_at) * 1000
 
 
-async def _measure(n_entries: int, n_near: int, seed: int) -> dict[str, Any]:
+async def _measure(
+    n_entries: int, n_near: int, seed: int, is_cost_only: bool = False
+) -> dict[str, Any]:
     rng = random.Random(seed)
     fleet = _Fleet(n_entries, n_near, seed)
     async with trio.open_nursery() as nursery:
@@ -134,14 +137,20 @@
             await nursery.start(host.run)
         await trio.sleep(SETTLE_S)
         cost = await _cost(fleet)
+        size = {
+            "entries": n_entries,
+            "entries_of_a_data_centre": n_near,
+            "agents": n_entries * N_AGENTS_PER_ENTRY,
+        }
+        if is_cost_only:
+            nursery.cancel_scope.cancel()
+            return size | cost
         nursery.start_soon(fleet.count_false)
         stalls = await _stall_links(fleet, rng)
         detection = [await _kill_one(fleet, rng) for _ in range(N_KILLS)]
         nursery.cancel_scope.cancel()
     return {
-        "entries": n_entries,
-        "entries_of_a_data_centre": n_near,
-        "agents": n_entries * N_AGENTS_PER_ENTRY,
+        **size,
         **cost,
         "stalls": stalls,
         "false_suspicions": fleet.n_false,
@@ -277,7 +286,14 @@
     sizes = [int(size) for size in arguments["--sizes"].split(",")]
     configure_logs("membership", "error")
     runs = [
-        trio.run(_measure, size, n_near, seed, clock=MockClock(autojump_threshold=0))
+        trio.run(
+            _measure,
+            size,
+            n_near,
+            seed,
+            arguments["--cost-only"],
+            clock=MockClock(autojump_threshold=0),
+        )
         for size in sizes
     ]
     document = {
