--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -19,6 +19,7 @@
     "EngineUnreachable",
     "Finding",
     "FindingsError",
+    "FormatUnsupported",
     "NotFound",
     "PeerTimeout",
     "PeerUnreachable",
@@ -103,6 +104,10 @@
         self.retry_after_ms = retry_after_ms
 
 
+class FormatUnsupported(StoreUnavailable):
+    """An object of the store has a format that this release can't read."""
+
+
 class UpstreamUnreachable(PoplarwardError):
     """An upstream could not be reached, or its answer broke off.
 
--- a/poplarward/requests/routing/turns.py
+++ b/poplarward/requests/routing/turns.py
@@ -2,7 +2,8 @@
 
 All ranks of a group wait for the slowest in each step, so one rank's prefill costs its
 group as much as a prefill on every rank. Half of the groups have their turn at a time,
-so the prefills of a group's ranks fall into the same steps. Entry hosts take the turns
+so the prefills of a group's ranks fall into the same steps. Urgent prompts, which are
+short, go to the other half, where the steps are. Entry hosts take the turns
 from their clocks and the configuration, without a message; clocks that differ by a
 part of a turn blur its edges and do no other harm.
 """
@@ -12,13 +13,15 @@
 import time
 from collections.abc import Callable, Mapping, Sequence
 
+from ...protocol.requests import PriorityClass
+
 __all__ = ["TURN_MS", "PrefillTurns"]
 
 TURN_MS = 200.0
 
 
 class PrefillTurns:
-    """Tells which agents' rank groups have their turn.
+    """Tells which agents a new prompt should go to by their rank groups' turns.
 
     Parameters
     ----------
@@ -28,15 +31,23 @@
     Examples
     --------
     >>> turns = PrefillTurns(lambda: 0.0)
-    >>> turns.in_turn({"agent-1": "drafts", "agent-2": "notes"}, ["drafts", "notes"])
+    >>> group_of = {"agent-1": "drafts", "agent-2": "notes"}
+    >>> turns.preferred(group_of, ["drafts", "notes"], PriorityClass.DRAFTING)
     {'agent-1'}
+    >>> turns.preferred(group_of, ["drafts", "notes"], PriorityClass.URGENT)
+    {'agent-2'}
     """
 
     def __init__(self, clock: Callable[[], float] = time.time):
         self._clock = clock
 
-    def in_turn(self, group_of: Mapping[str, str], groups: Sequence[str]) -> set[str]:
-        """Return the agents whose group has its turn; none if there are no turns.
+    def preferred(
+        self,
+        group_of: Mapping[str, str],
+        groups: Sequence[str],
+        priority_class: PriorityClass,
+    ) -> set[str]:
+        """Return the agents to prefer for a prompt; none if there are no turns.
 
         An agent whose group takes no turns is always among them.
 
@@ -46,14 +57,20 @@
             Rank group of each agent.
         groups : sequence of str
             Rank groups of the pool, in the same order at every entry host.
+        priority_class : PriorityClass
+            Drafting goes to groups in their turn, urgent to the others.
         """
         if len(groups) < 2:
             return set()
         n_in_turn = len(groups) // 2
         first = int(self._clock() * 1000 / TURN_MS) * n_in_turn
-        resting = {
-            group
+        has_turn = {
+            group: (index + first) % len(groups) < n_in_turn
             for index, group in enumerate(groups)
-            if (index + first) % len(groups) >= n_in_turn
         }
-        return {name for name, group in group_of.items() if group not in resting}
+        wanted = priority_class is PriorityClass.DRAFTING
+        return {
+            name
+            for name, group in group_of.items()
+            if has_turn.get(group, wanted) is wanted
+        }
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -53,7 +53,8 @@
         payments: Payments | None = None,
     ):
         self._upstream = upstream
-        memory = KvMemory(upstream.settings.kv_limit_tokens)
+        settings = upstream.settings
+        memory = KvMemory(settings.kv_limit_tokens, settings.kv_headroom_share)
         self._slots = FairSlots(n_slots, memory)
         self._health = health
         self._refused = refused
@@ -81,8 +82,9 @@
 
     async def _run_in_turn(self, attempt: AttemptInHand, digest: int) -> End | None:
         """Run a suspect when no other one does; returns its end."""
+        attempt.is_suspect = True
         is_strict = self._suspects.n_crashes(digest) > 1
-        async with self._lane.turn(is_strict) as turn:
+        async with self._lane.turn(is_strict, attempt.scope.deadline) as turn:
             if self._suspects.verdict(digest) is Verdict.CONVICTED:
                 return crash_refused(attempt.submit, self._suspects.left_ms(digest))
             attempt.turn = turn
--- a/tests/requests/routing/test_turns.py
+++ b/tests/requests/routing/test_turns.py
@@ -11,9 +11,12 @@
 from benchmarks.routing import Setup, run_policy
 from benchmarks.routing_model import arrivals
 from benchmarks.routing_policies import POLICIES
+from poplarward.protocol.requests import PriorityClass
 from poplarward.requests.routing.choice import Candidate, choose_candidate
 from poplarward.requests.routing.turns import TURN_MS, PrefillTurns
 
+DRAFTING = PriorityClass.DRAFTING
+
 
 class Clock:
     def __init__(self):
@@ -38,7 +41,7 @@
     agents = group_of(names)
     counts = dict.fromkeys(agents, 0)
     for _ in range(n_groups):
-        chosen = turns.in_turn(agents, names)
+        chosen = turns.preferred(agents, names, DRAFTING)
         assert len(chosen) == n_groups // 2
         for name in chosen:
             counts[name] += 1
@@ -48,21 +51,33 @@
 
 def test_entry_hosts_with_other_subsets_agree_on_the_turns():
     turns = PrefillTurns(Clock())
-    everyone = turns.in_turn(group_of("abcd"), "abcd")
-    assert turns.in_turn(group_of("ab"), "abcd") == everyone & {"agent-a", "agent-b"}
+    everyone = turns.preferred(group_of("abcd"), "abcd", DRAFTING)
+    some = turns.preferred(group_of("ab"), "abcd", DRAFTING)
+    assert some == everyone & {"agent-a", "agent-b"}
+
+
+def test_urgent_prompts_go_to_the_groups_that_have_no_turn():
+    clock = Clock()
+    turns = PrefillTurns(clock)
+    agents = group_of("abc")
+    for _ in range(3):
+        drafting = turns.preferred(agents, "abc", DRAFTING)
+        urgent = turns.preferred(agents, "abc", PriorityClass.URGENT)
+        assert urgent == set(agents) - drafting
+        clock.next_turn()
 
 
 def test_pool_of_one_group_takes_no_turns():
     turns = PrefillTurns(Clock())
-    assert turns.in_turn(group_of("a"), ()) == set()
-    assert turns.in_turn(group_of("a"), "a") == set()
+    assert turns.preferred(group_of("a"), (), DRAFTING) == set()
+    assert turns.preferred(group_of("a"), "a", DRAFTING) == set()
 
 
 def test_agent_of_an_unknown_group_always_has_its_turn():
     clock = Clock()
     turns = PrefillTurns(clock)
     for _ in range(4):
-        assert "agent-c" in turns.in_turn(group_of("abc"), "ab")
+        assert "agent-c" in turns.preferred(group_of("abc"), "ab", DRAFTING)
         clock.next_turn()
 
 
