--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -19,18 +19,18 @@
 from .ends import CRASH_REASON
 from .key_issuer import KeyIssuer
 from .payments import rank_owners, read_issued_key
+from .progress import RequestProgress
 from .relay import Relay
 from .retries import (
     AttemptBudget,
     Failure,
     GiveUp,
-    Progress,
     combine_outcomes,
     next_step,
 )
 from .routing import AgentView, Router
 from .streams import AttemptStream, Broken, Chunk
-from .suspects import SuspectSpread, SuspectTable, request_digest
+from .suspects import SuspectSpread, SuspectTable
 
 __all__ = ["AttemptLoop"]
 
@@ -65,41 +65,6 @@
 log = get_logger("attempts")
 
 
-class _Progress:
-    """A request on its way, over all of its attempts."""
-
-    def __init__(self, request: CallerRequest, answer: Answer):
-        self.request = request
-        self.answer = answer
-        self.expires_at = trio.current_time() + request.deadline_ms / 1000
-        self.n_attempts = 0
-        self.outcome = Outcome.NOT_RUN
-        self.excluded: set[str] = set()
-        self._digest: int | None = None
-
-    @property
-    def digest(self) -> int:
-        """Names the request in all of its attempts, also through other entry hosts."""
-        if self._digest is None:
-            request = self.request
-            self._digest = request_digest(
-                request.upstream,
-                request.workspace,
-                request.method,
-                request.path,
-                request.body,
-            )
-        return self._digest
-
-    @property
-    def left_ms(self) -> float:
-        return max(0.0, (self.expires_at - trio.current_time()) * 1000)
-
-    def seen(self) -> Progress:
-        may_repeat = self.request.repeatable or self.request.is_keyed
-        return Progress(may_repeat, self.n_attempts, self.left_ms)
-
-
 class AttemptLoop:
     """Attempts of requests, from the choice of an agent to the answer's end.
 
@@ -147,7 +112,7 @@
         """Answer a request, whatever becomes of its attempts."""
         budget = self._budgets[request.upstream]
         budget.note_request()
-        progress = _Progress(request, Answer(responder))
+        progress = RequestProgress(request, Answer(responder))
         last = Failure(
             Outcome.NOT_RUN,
             f"no upstream of {request.upstream} is live",
@@ -190,12 +155,12 @@
                 progress.excluded.add(agent.identity.name)
         await self._give_up(progress, last)
 
-    def _verdict(self, progress: _Progress) -> Verdict | None:
+    def _verdict(self, progress: RequestProgress) -> Verdict | None:
         if self.suspects.is_empty:
             return None
         return self.suspects.verdict(progress.digest)
 
-    async def _wait_for_spare(self, progress: _Progress) -> None:
+    async def _wait_for_spare(self, progress: RequestProgress) -> None:
         """Wait a while until a crash would leave enough agents for the others."""
         ends_at = min(
             progress.expires_at, trio.current_time() + SPARE_TIMEOUT_MS / 1000
@@ -205,7 +170,7 @@
                 return
             await trio.sleep(SPARE_POLL_MS / 1000)
 
-    def _refuse(self, progress: _Progress) -> Failure:
+    def _refuse(self, progress: RequestProgress) -> Failure:
         """Return the answer to a request that crashes upstreams."""
         log.info("request.refused", digest=f"{progress.digest:016x}")
         # An earlier one that may not be repeated may have run before the crash.
@@ -214,7 +179,7 @@
         left_ms = self.suspects.left_ms(progress.digest)
         return Failure(outcome, CRASH_REASON, 422, left_ms, is_final=True)
 
-    def _choose(self, progress: _Progress, is_suspect: bool) -> AgentView | None:
+    def _choose(self, progress: RequestProgress, is_suspect: bool) -> AgentView | None:
         """Return the agent for the next attempt, or None."""
         request = progress.request
         if not request.is_keyed:
@@ -235,7 +200,7 @@
         )
         return live[owners[0]] if owners else None
 
-    async def _give_up(self, progress: _Progress, last: Failure) -> None:
+    async def _give_up(self, progress: RequestProgress, last: Failure) -> None:
         """Answer with the outcome of all attempts, and when to come back."""
         outcome = progress.outcome
         may_come_back = progress.request.repeatable or outcome is Outcome.NOT_RUN
@@ -246,7 +211,9 @@
             last._replace(outcome=outcome, retry_after_ms=retry_after_ms)
         )
 
-    async def _attempt(self, agent: AgentView, progress: _Progress) -> Failure | None:
+    async def _attempt(
+        self, agent: AgentView, progress: RequestProgress
+    ) -> Failure | None:
         """Make one attempt; returns how it failed, or None."""
         progress.n_attempts += 1
         self.n_attempts += 1
@@ -264,7 +231,7 @@
         finally:
             self._router.end(agent, request_id)
 
-    async def _connect(self, agent: AgentView, progress: _Progress) -> Connection:
+    async def _connect(self, agent: AgentView, progress: RequestProgress) -> Connection:
         name = agent.identity.name
         with trio.move_on_at(progress.expires_at):
             connection = await self._peers.connection(agent.address)
@@ -273,7 +240,7 @@
             return connection
         raise PeerUnreachable(f"no connection to {name} before the deadline")
 
-    def _submit(self, progress: _Progress, request_id: RequestId) -> Submit:
+    def _submit(self, progress: RequestProgress, request_id: RequestId) -> Submit:
         request = progress.request
         return Submit(
             request_id=request_id,
@@ -295,7 +262,7 @@
         )
 
     async def _follow(
-        self, connection: Connection, stream: AttemptStream, progress: _Progress
+        self, connection: Connection, stream: AttemptStream, progress: RequestProgress
     ) -> Failure | None:
         """Relay an attempt's answer and learn the outcome of one that failed."""
         try:
@@ -311,7 +278,7 @@
             self._relay.forget(stream)
 
     async def _relay_answer(
-        self, stream: AttemptStream, progress: _Progress
+        self, stream: AttemptStream, progress: RequestProgress
     ) -> Failure | None:
         ends_at = progress.expires_at + DEADLINE_GRACE_MS / 1000
         while True:
@@ -336,7 +303,7 @@
         self,
         connection: Connection,
         stream: AttemptStream,
-        progress: _Progress,
+        progress: RequestProgress,
         failure: Failure,
     ) -> Failure:
         """Stop an attempt whose end did not come and learn its outcome."""
@@ -362,7 +329,7 @@
             await answer.chunk(event)
 
 
-async def _end(event: End | Broken, progress: _Progress) -> Failure | None:
+async def _end(event: End | Broken, progress: RequestProgress) -> Failure | None:
     """Finish the answer, or return how the attempt failed."""
     answer = progress.answer
     match event:
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -88,28 +88,24 @@
         return None if chosen is None else views[chosen.name]
 
     def choose_for_suspect(
-        self, upstream: str, digest: int, excluded: Collection[str]
+        self, pool: str, digest: int, excluded: Collection[str]
     ) -> AgentView | None:
         """Return the agent at which all entry hosts let a suspect run, or None.
 
-        A few agents of each upstream run all of its suspects.
+        A few agents of each pool run all of its suspects.
         """
-        live = {
-            view.identity.name: view for view in self.live_agents(upstream, excluded)
-        }
+        live = {view.identity.name: view for view in self.live_agents(pool, excluded)}
         if not live:
             return None
         n_agents = max(1, len(live) // AGENTS_PER_SUSPECT_AGENT)
-        chosen = rendezvous_ranking(upstream, live)[:n_agents]
+        chosen = rendezvous_ranking(pool, live)[:n_agents]
         return live[rendezvous_ranking(f"{digest:x}", chosen)[0]]
 
-    def has_spare(self, upstream: str) -> bool:
-        """Whether the upstream can bear the loss of another agent."""
-        n_live = len(self.live_agents(upstream))
-        known = [
-            view for view in self._agents.views() if view.report.upstream == upstream
-        ]
-        return n_live >= MIN_LIVE_SHARE * len(known)
+    def has_spare(self, pool: str) -> bool:
+        """Whether a pool can bear the loss of another agent."""
+        n_live = len(self.live_agents(pool))
+        n_known = sum(self._pool_of(view) == pool for view in self._agents.views())
+        return n_live >= MIN_LIVE_SHARE * n_known
 
     def live_agents(self, pool: str, excluded: Collection[str] = ()) -> list[AgentView]:
         """Return a pool's agents that take new work and are not excluded by name."""
--- a/poplarward/requests/suspects/watch.py
+++ b/poplarward/requests/suspects/watch.py
@@ -13,7 +13,7 @@
 
 __all__ = ["CrashWatch"]
 
-SETTLE_MS = 50.0
+SETTLE_MS = 200.0
 
 log = get_logger("suspects")
 
