--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -139,7 +139,9 @@
         """Forward one attempt; returns its end."""
         with self._watch.running() as number:
             try:
-                return await self._pass_on(attempt, share)
+                end = await self._pass_on(attempt, share)
+                self._watch.ended(number)
+                return end
             except UpstreamUnreachable as error:
                 return await self._broke_off(attempt, number, error)
 
--- a/poplarward/requests/suspects/watch.py
+++ b/poplarward/requests/suspects/watch.py
@@ -25,6 +25,7 @@
         self.at_risk = at_risk
         self.broken: dict[int, int] = {}
         self.settled = trio.Event()
+        self.has_survivor = False
         self.is_crash = False
 
 
@@ -62,6 +63,11 @@
         finally:
             self._running.discard(number)
 
+    def ended(self, number: int) -> None:
+        """Note that a running request ended in order."""
+        if self._break is not None and number in self._break.at_risk:
+            self._break.has_survivor = True
+
     async def broke_off(self, number: int, digest: int) -> bool:
         """Note that a running request broke off; returns whether by a crash.
 
@@ -87,7 +93,8 @@
         return (current.at_risk & self._running) - set(current.broken)
 
     def _judge(self, current: _Break) -> None:
-        if self._survivors(current) or self._is_planned():
+        is_alive = current.has_survivor or self._survivors(current)
+        if is_alive or self._is_planned():
             return
         current.is_crash = True
         digests = set(current.broken.values())
