--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,13 +1,14 @@
 """Cost of membership for each host, and how soon and how rightly it judges.
 
 Usage:
-  membership [--json] [--seed N] [--sizes LIST] [--near N]
+  membership [--json] [--seed N] [--sizes LIST] [--near N] [--cost-only]
 
 Options:
   --json        Print one JSON document (the only form).
   --seed N      Seed of every random choice [default: 1].
   --sizes LIST  Numbers of entry hosts, by comma [default: 8,16,32,64].
   --near N      Entry hosts of a data centre [default: 8].
+  --cost-only   Kill and delay nothing, which takes long with many hosts.
 
 Entry hosts and agents run on memory channels in virtual time. Messages, bytes and
 judgements are the same on every run with one seed; processor time is not. It is that
@@ -19,6 +20,7 @@
 import json
 import random
 import time
+import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
@@ -125,7 +127,9 @@
         return (trio.current_time() - started_at) * 1000
 
 
-async def _measure(n_entries: int, n_near: int, seed: int) -> dict[str, Any]:
+async def _measure(
+    n_entries: int, n_near: int, seed: int, is_cost_only: bool = False
+) -> dict[str, Any]:
     rng = random.Random(seed)
     fleet = _Fleet(n_entries, n_near, seed)
     async with trio.open_nursery() as nursery:
@@ -133,14 +137,20 @@
             await nursery.start(host.run)
         await trio.sleep(SETTLE_S)
         cost = await _cost(fleet)
+        size = {
+            "entries": n_entries,
+            "entries_of_a_data_centre": n_near,
+            "agents": n_entries * N_AGENTS_PER_ENTRY,
+        }
+        if is_cost_only:
+            nursery.cancel_scope.cancel()
+            return size | cost
         nursery.start_soon(fleet.count_false)
         stalls = await _stall_links(fleet, rng)
         detection = [await _kill_one(fleet, rng) for _ in range(N_KILLS)]
         nursery.cancel_scope.cancel()
     return {
-        "entries": n_entries,
-        "entries_of_a_data_centre": n_near,
-        "agents": n_entries * N_AGENTS_PER_ENTRY,
+        **size,
         **cost,
         "stalls": stalls,
         "false_suspicions": fleet.n_false,
@@ -208,8 +218,7 @@
     return suspect_ms, suspect_ms + await fleet.wait_until(gone)
 
 
-def _table_cost(n_entries: int, n_agents: int, n_centres: int) -> dict[str, Any]:
-    """Return the processor time of what a host works out over the whole table."""
+def _table_of(n_entries: int, n_agents: int, n_centres: int) -> MemberTable:
     table = MemberTable()
     for role, n in (("entry", n_entries), ("agent", n_agents)):
         table.merge(
@@ -225,10 +234,23 @@
             )
             for i in range(n)
         )
+    return table
+
+
+def _table_cost(n_entries: int, n_agents: int, n_centres: int) -> dict[str, Any]:
+    """Return the processor time of what a host works out over the whole table."""
+    tracemalloc.start()
+    table = _table_of(n_entries, n_agents, n_centres)
+    table_bytes = tracemalloc.get_traced_memory()[0]
     view = MemberView(table, Reachability())
     records = list(table.records.values())
     fewer = [record for record in records if record.name != f"entry-{n_centres + 1}"]
     assignment = WatchAssignment("entry-1")
+    at_once(assignment.watched(records))
+    view.live("entry", None)
+    all_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assignment = WatchAssignment("entry-1")
     costs = {
         f"watched_{name}_ms": sliced_cost_ms(assignment.watched(found))
         for name, found in (("first", records), ("one_left", fewer), ("same", fewer))
@@ -237,6 +259,8 @@
         "entries": n_entries,
         "agents": n_agents,
         "data_centres": n_centres,
+        "table_bytes": table_bytes,
+        "rankings_and_view_bytes": all_bytes - table_bytes,
         **costs,
         "watched_fields": ["whole", "longest slice"],
         "delegates_us": _time_us(lambda: delegates_of(records)),
@@ -262,14 +286,21 @@
     sizes = [int(size) for size in arguments["--sizes"].split(",")]
     configure_logs("membership", "error")
     runs = [
-        trio.run(_measure, size, n_near, seed, clock=MockClock(autojump_threshold=0))
+        trio.run(
+            _measure,
+            size,
+            n_near,
+            seed,
+            arguments["--cost-only"],
+            clock=MockClock(autojump_threshold=0),
+        )
         for size in sizes
     ]
     document = {
         "seed": seed,
         "targets": TARGETS,
         "runs": runs,
-        "table": _table_cost(1000, 10_000, 18),
+        "tables": [_table_cost(n, 10_000, 18) for n in (1000, 5000)],
     }
     print(json.dumps(document, indent=1))
 
--- a/benchmarks/routing_policies.py
+++ b/benchmarks/routing_policies.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping, Sequence
 
 from poplarward.protocol.reports import AgentReport
+from poplarward.protocol.requests import PriorityClass
 from poplarward.requests.routing.affinity import prefix_homes
 from poplarward.requests.routing.choice import Candidate, choose_candidate
 from poplarward.requests.routing.load import AgentLoad, arriving_requests
@@ -40,6 +41,7 @@
         self.rng = random.Random(seed)
         self.requests: dict[str, int] = dict.fromkeys(agents, 0)
         self.choice_s = 0.0
+        self.far_costs: dict[str, float] = {}
 
     def choose(self, arrival: Arrival, now_ms: float) -> str:
         """Return the agent that runs a request."""
@@ -103,12 +105,14 @@
         began = time.perf_counter()
         self.now_ms = now_ms
         candidates = [
-            Candidate(agent, load.occupancy) for agent, load in self.loads.items()
+            Candidate(agent, load.occupancy + self.far_costs.get(agent, 0.0))
+            for agent, load in self.loads.items()
         ]
         homes = prefix_homes(str(arrival.prefix), self.agents)
         arriving = arriving_requests(list(self.loads.values()))
-        in_turn = self.turns.in_turn(self.group_of, self.groups)
-        chosen = choose_candidate(candidates, homes, arriving, self.rng, in_turn)
+        kind = PriorityClass.URGENT if arrival.urgent else PriorityClass.DRAFTING
+        preferred = self.turns.preferred(self.group_of, self.groups, kind)
+        chosen = choose_candidate(candidates, homes, arriving, self.rng, preferred)
         self.choice_s += time.perf_counter() - began
         assert chosen is not None
         return chosen.name
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -13,7 +13,13 @@
 from .limits import WorkspaceLimits
 from .pools import UpstreamPools
 from .relay import Relay
-from .routing import AgentConnections, AgentTable, AgentView, Router
+from .routing import (
+    AgentConnections,
+    AgentTable,
+    AgentView,
+    PrefillTurns,
+    Router,
+)
 from .upstream import UpstreamSettings
 
 __all__ = [
@@ -24,6 +30,7 @@
     "AttemptLoop",
     "Executor",
     "Gateway",
+    "PrefillTurns",
     "Relay",
     "Router",
     "UpstreamPools",
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -83,8 +83,8 @@
         ]
         arriving = arriving_requests([view.load for view in views.values()])
         homes = prefix_homes(request.prefix_digest, views)
-        in_turn = self._in_turn(request.upstream, views)
-        chosen = choose_candidate(candidates, homes, arriving, self._rng, in_turn)
+        preferred = self._preferred(request, views)
+        chosen = choose_candidate(candidates, homes, arriving, self._rng, preferred)
         return None if chosen is None else views[chosen.name]
 
     def choose_for_suspect(
@@ -130,12 +130,15 @@
         upstream = view.report.upstream
         return self._pools.of_upstream(upstream) if self._pools else upstream
 
-    def _in_turn(self, pool: str, views: Mapping[str, AgentView]) -> set[str]:
-        """Return the agents whose rank group has its turn for prefills."""
+    def _preferred(
+        self, request: CallerRequest, views: Mapping[str, AgentView]
+    ) -> set[str]:
+        """Return the agents to prefer by their rank groups' turns."""
         if self._pools is None:
             return set()
         group_of = {name: view.report.upstream for name, view in views.items()}
-        return self._turns.in_turn(group_of, self._pools.groups(pool))
+        groups = self._pools.groups(request.upstream)
+        return self._turns.preferred(group_of, groups, request.priority_class)
 
     def _load(self, view: AgentView, mean_slots: float) -> float:
         """Return the requests in hand, as if all agents had the mean of slots."""
--- a/tests/requests/payments/test_payments.py
+++ b/tests/requests/payments/test_payments.py
@@ -4,6 +4,7 @@
 
 import json
 
+import pytest
 import trio
 
 from benchmarks.naive_payments import NaivePayments
@@ -14,17 +15,19 @@
     Record,
     RecordState,
     Run,
+    journal,
+    keys,
     partition,
     read_issued_key,
 )
 from poplarward.requests.payments.issued import IssuedCalls
-from poplarward.requests.payments.journal import KEEP_MS
+from poplarward.requests.payments.journal import KEEP_MS, Segment
 from poplarward.requests.payments.partition import Partition
 from poplarward.requests.payments.verdicts import UNKNOWN
 from poplarward.standins.object_store import MemoryObjectStore
 from poplarward.state.writer import Writer
 from poplarward.transport import Address
-from tests.requests.payments.ledger_path import LedgerPath
+from tests.requests.payments.ledger_path import N_AGENTS, NO_KEY, LedgerPath
 
 STARTED = Record("d", "agent-0:1", RecordState.STARTED, 1_000)
 
@@ -125,6 +128,41 @@
     assert calls.begin(key, issued, STARTED) == UNKNOWN
 
 
+async def test_payments_without_a_key_run_once(nursery, autojump_clock):
+    """Every agent is struck at every millisecond while it has such a payment."""
+    ledger_path = await start(nursery)
+    faults = {
+        "kill": ledger_path.kill_agent,
+        "cut": lambda number: set_cut_for_a_while(ledger_path, number),
+        "pause": lambda number: set_paused_for_a_while(ledger_path, number),
+    }
+    for fault in faults.values():
+        for wait_ms in range(0, 40, 3):
+            for _ in range(N_AGENTS):
+                ledger_path.send(NO_KEY, 0)
+            await trio.sleep(wait_ms / 1000)
+            for number in range(N_AGENTS):
+                await fault(number)
+            await trio.sleep(4)
+    await trio.sleep(10)
+    ledger_path.check()
+    outcomes = {caller.outcome for _, _, caller in ledger_path.sent}
+    assert outcomes == {"ran", "unknown", "not-run"}
+    nursery.cancel_scope.cancel()
+
+
+async def set_cut_for_a_while(ledger_path, number):
+    ledger_path.set_cut(number, True)
+    await trio.sleep(1)
+    ledger_path.set_cut(number, False)
+
+
+async def set_paused_for_a_while(ledger_path, number):
+    ledger_path.set_paused(number, True)
+    await trio.sleep(1)
+    ledger_path.set_paused(number, False)
+
+
 async def test_paused_owner_that_wakes_after_takeover(nursery, autojump_clock):
     """The pause falls at every millisecond from the receipt to the forwarding."""
     ledger_path = await start(nursery)
@@ -192,8 +230,13 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_answers_are_those_of_one_record_a_key(nursery, autojump_clock):
+@pytest.mark.parametrize("segment_bytes", [journal.SEGMENT_BYTES, 400, 0])
+async def test_answers_are_those_of_one_record_a_key(
+    nursery, autojump_clock, monkeypatch, segment_bytes
+):
     """Differential: the journal answers as the naive way does."""
+    monkeypatch.setattr(journal, "SEGMENT_BYTES", segment_bytes)
+    monkeypatch.setattr(keys, "N_PARTITIONS", 2)
     scripts = []
     for make_payments in (None, NaivePayments):
         ledger_path = await start(nursery, make_payments)
@@ -212,9 +255,9 @@
 
 def test_journal_survives_coding_and_drops_old_records():
     done = STARTED._replace(at_ms=5_000).with_answer(201, "application/json", b"{}")
-    journal = Journal({"a/k-1": STARTED, "a/k-2": done})
-    assert Journal.from_spec(json.loads(json.dumps(journal.to_spec()))) == journal
-    assert journal.pruned(KEEP_MS + 2_000).records == {"a/k-2": done}
+    held = Journal({"a/k-1": STARTED, "a/k-2": done}, (Segment(3, 900, 7),))
+    assert Journal.from_spec(json.loads(json.dumps(held.to_spec()))) == held
+    assert held.pruned(KEEP_MS + 2_000).records == {"a/k-2": done}
 
 
 async def test_full_journal_refuses_new_keys(nursery, autojump_clock, monkeypatch):
--- a/tests/requests/payments/test_payments_machine.py
+++ b/tests/requests/payments/test_payments_machine.py
@@ -8,7 +8,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
 from benchmarks.memory_path import run_in_virtual_time
-from tests.requests.payments.ledger_path import N_AGENTS, N_ENTRIES, LedgerPath
+from poplarward.requests.payments import journal, keys
+from tests.requests.payments.ledger_path import N_AGENTS, N_ENTRIES, NO_KEY, LedgerPath
 
 AGENTS = st.integers(0, N_AGENTS - 1)
 ENTRIES = st.integers(0, N_ENTRIES - 1)
@@ -24,7 +25,7 @@
         self.script = []
 
     @rule(
-        key=st.sampled_from(["k-1", "k-2", "k-3", "k-4", "issued-1"]),
+        key=st.sampled_from(["k-1", "k-2", "k-3", "k-4", "issued-1", NO_KEY]),
         entry=ENTRIES,
         cents=st.sampled_from([1, 1, 1, 2]),
         pause_ms=PAUSES_MS,
@@ -47,6 +48,22 @@
         self.script.append((fault, agent))
         self.script.append(("wait", pause_ms))
 
+    @rule(
+        fault=st.sampled_from(["kill", "pause", "cut", "crash", "down", "losing"]),
+        before_ms=st.sampled_from([0, 2, 5, 8, 20, 50]),
+        between_ms=PAUSES_MS,
+    )
+    def strike_without_key(self, fault, before_ms, between_ms):
+        """Strike every agent's part on the way of payments without a key."""
+        for _ in range(N_AGENTS):
+            self.script.append(("send", NO_KEY, 0, 1, 0))
+        self.script.append(("wait", before_ms))
+        if fault in AGENT_FAULTS:
+            self.script += [(fault, agent) for agent in range(N_AGENTS)]
+        else:
+            self.script.append((fault,))
+        self.script.append(("wait", between_ms))
+
     @rule(
         fault=st.sampled_from(["kill", "pause", "cut", "crash", "down", "losing"]),
         before_ms=st.sampled_from([0, 2, 5, 8, 20, 50]),
@@ -78,12 +95,12 @@
     async with trio.open_nursery() as nursery:
         ledger_path = LedgerPath(nursery, make_payments)
         await ledger_path.start()
-        keys = {}
+        issued = {}
         for step in script:
-            await play_step(ledger_path, keys, step)
+            await play_step(ledger_path, issued, step)
         ledger_path.heal()
         await trio.sleep(10)
-        for key in {key for key, _, _ in ledger_path.sent}:
+        for key in {key for key, _, _ in ledger_path.sent if NO_KEY not in key}:
             for entry in range(N_ENTRIES):
                 ledger_path.send(key, entry)
         await trio.sleep(10)
@@ -92,14 +109,14 @@
     return ledger_path
 
 
-async def play_step(ledger_path, keys, step):
+async def play_step(ledger_path, issued, step):
     faults = ledger_path.store.faults
     if step[0] in AGENT_FAULTS and isinstance(step[1], str):
         step = (step[0], ledger_path.owner_of(step[1]))
     match step:
         case ("send", key, entry, cents, pause_ms):
             if key.startswith("issued"):
-                key = await issued_key(ledger_path, keys, key)
+                key = await issued_key(ledger_path, issued, key)
             ledger_path.send(key, entry, cents)
             await trio.sleep(pause_ms / 1000)
         case ("wait", pause_ms):
@@ -124,18 +141,29 @@
             faults.delay_ms, faults.lost_answers = 3.0, 0.0
 
 
-async def issued_key(ledger_path, keys, name):
+async def issued_key(ledger_path, issued, name):
     """Return the key that an agent issued under a name, or a caller's own."""
-    if name not in keys:
+    if name not in issued:
         try:
-            keys[name] = await ledger_path.entries[0].keys.issue("ledger")
+            issued[name] = await ledger_path.entries[0].keys.issue("ledger")
         except Exception:
             return "k-3"
-    return keys[name]
+    return issued[name]
 
 
-def test_payments_run_at_most_once():
+def check_machine():
     run_state_machine_as_test(
         PaymentsMachine,
         settings=settings(max_examples=20, stateful_step_count=16),
     )
+
+
+def test_payments_run_at_most_once():
+    check_machine()
+
+
+def test_payments_run_at_most_once_while_segments_are_closed(monkeypatch):
+    """Keys share two partitions, and every update that can closes a segment."""
+    monkeypatch.setattr(keys, "N_PARTITIONS", 2)
+    monkeypatch.setattr(journal, "SEGMENT_BYTES", 0)
+    check_machine()
