--- a/tests/requests/suspects/test_crashing_requests.py
+++ b/tests/requests/suspects/test_crashing_requests.py
@@ -14,7 +14,7 @@
 from poplarward.protocol.requests import Submit
 from poplarward.protocol.suspects import Suspicions, Verdict
 from poplarward.requests.in_hand import AttemptInHand
-from poplarward.requests.suspects import SuspectTable, request_digest
+from poplarward.requests.suspects import SuspectSpread, SuspectTable, request_digest
 from poplarward.requests.suspects.table import KEEP_MS
 from poplarward.standins.engine import completion_words
 from poplarward.standins.ledger import LedgerStandin
@@ -139,6 +139,8 @@
     assert (await send(entries[0])).status == 422
     late = await path.start_entry("entry-9", "10.1.0.9")
     await trio.sleep(2)
+    verdict = late.suspects.verdict(digest_of(draft(CULPRIT)))
+    assert verdict is Verdict.CONVICTED
     assert (await send(late)).status == 422
     assert engines.n_crashes == 2
     nursery.cancel_scope.cancel()
@@ -169,7 +171,9 @@
     await trio.sleep(20)
     path.faults.loss = 0.0
     await trio.sleep(3)
+    digest = digest_of(draft(CULPRIT))
     for entry in entries:
+        assert entry.suspects.verdict(digest) is Verdict.CONVICTED
         assert (await send(entry)).status == 422
     assert engines.n_crashes == 0
     nursery.cancel_scope.cancel()
@@ -183,6 +187,8 @@
     assert entries[2].suspects.is_empty
     path.cut.clear()
     await trio.sleep(5)
+    verdict = entries[2].suspects.verdict(digest_of(draft(CULPRIT)))
+    assert verdict is Verdict.CONVICTED
     assert (await send(entries[2])).status == 422
     assert engines.n_crashes == 2
     nursery.cancel_scope.cancel()
@@ -317,3 +323,27 @@
     )
     attempt = AttemptInHand(submit, connection=None, packer=None)
     assert attempt.digest() == digest_of(request)
+
+
+async def test_lost_verdict_is_sent_again(nursery, autojump_clock):
+    path, engines, entries = await start(nursery, n_engines=1, n_entries=1)
+    path.faults.loss = 1.0
+    path.agents["agent-1"].suspects.convict(digest_of(draft(CULPRIT)))
+    await trio.sleep(0.5)
+    path.faults.loss = 0.0
+    assert entries[0].suspects.is_empty
+    await trio.sleep(3)
+    verdict = entries[0].suspects.verdict(digest_of(draft(CULPRIT)))
+    assert verdict is Verdict.CONVICTED
+    nursery.cancel_scope.cancel()
+
+
+async def test_entry_host_knows_before_it_tries_again(
+    nursery, autojump_clock, monkeypatch
+):
+    """Also where the messages to all others are late."""
+    monkeypatch.setattr(SuspectSpread, "_send_to_all", lambda self, nursery: None)
+    _, engines, entries = await start(nursery)
+    assert (await send(entries[0])).status == 422
+    assert engines.n_crashes == 2
+    nursery.cancel_scope.cancel()
