Move streams that are too long for the stop of an agent

Cause: an agent that stopped waited for its streams however long they were, and an attempt that it refused or handed back took a retry from the budget and one of four attempts, so that a long stream could be cut in a rolling restart by having met four agents that stopped.

Ruled out: moving every stream at once (each costs a prefill elsewhere, and most end within the wait); export of attention state (no engine of ours needs it to resume).

Change: after stop_wait_ms the agent ends what may be repeated with the refusal MOVED; calls that may not be are waited for. The entry host resumes after the last piece at another agent, without taking from the budget or the attempts, since each start of an agent gives an attempt up once. An agent that was started anew is no longer excluded. A stream that has no agent left waits up to 10 s for one. The agent waits until its last answers are sent before it closes connections.

With real processes: test_stream_longer_than_the_stop_of_an_agent_goes_on_at_another.

--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -31,6 +31,7 @@
 __all__ = ["AgentHost"]
 
 N_ENGINE_CONNECTIONS = 8
+STOP_WAIT_MS = 20_000.0
 
 log = get_logger("agent")
 
@@ -135,7 +136,7 @@
     async def _close(self) -> None:
         """Leave in order: no new attempts, then none at all."""
         self.presence.leave()
-        await self.executor.drain()
+        await self.executor.drain(self._settings.get("stop_wait_ms", STOP_WAIT_MS))
         await self.peers.close()
         await self.executor.close()
 
--- a/poplarward/programs/settings.py
+++ b/poplarward/programs/settings.py
@@ -111,6 +111,7 @@
     platform_token: NotRequired[str]
     peer_secret: str
     upstream: UpstreamSection
+    stop_wait_ms: NotRequired[float]
     metrics_tls: NotRequired[TlsSettings]
     peers_tls: NotRequired[TlsSettings]
     log_level: NotRequired[Literal["debug", "info", "warning", "error"]]
--- a/poplarward/protocol/requests.py
+++ b/poplarward/protocol/requests.py
@@ -57,6 +57,7 @@
     KEY_IN_PROGRESS = "key-in-progress"
     KEY_UNKNOWN = "key-unknown"
     LEAVING = "leaving"
+    MOVED = "moved"
     OVERLOADED = "overloaded"
     STORE_AWAY = "store-away"
 
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -19,18 +19,18 @@
 from .ends import CRASH_REASON
 from .key_issuer import KeyIssuer
 from .payments import rank_owners, read_issued_key
+from .progress import RequestProgress
 from .relay import Relay
 from .retries import (
     AttemptBudget,
     Failure,
     GiveUp,
-    Progress,
     combine_outcomes,
     next_step,
 )
 from .routing import AgentView, Router
 from .streams import AttemptStream, Broken, Chunk
-from .suspects import SuspectSpread, SuspectTable, request_digest
+from .suspects import SuspectSpread, SuspectTable
 
 __all__ = ["AttemptLoop"]
 
@@ -40,6 +40,8 @@
 DEADLINE_GRACE_MS = 250.0
 QUIET_LIMIT_MS = 2_000.0
 END_GRACE_MS = 250.0
+MOVE_WAIT_MS = 10_000.0
+MOVE_POLL_MS = 100.0
 SPARE_TIMEOUT_MS = 10_000.0
 SPARE_POLL_MS = 100.0
 
@@ -65,41 +67,6 @@
 log = get_logger("attempts")
 
 
-class _Progress:
-    """A request on its way, over all of its attempts."""
-
-    def __init__(self, request: CallerRequest, answer: Answer):
-        self.request = request
-        self.answer = answer
-        self.expires_at = trio.current_time() + request.deadline_ms / 1000
-        self.n_attempts = 0
-        self.outcome = Outcome.NOT_RUN
-        self.excluded: set[str] = set()
-        self._digest: int | None = None
-
-    @property
-    def digest(self) -> int:
-        """Names the request in all of its attempts, also through other entry hosts."""
-        if self._digest is None:
-            request = self.request
-            self._digest = request_digest(
-                request.upstream,
-                request.workspace,
-                request.method,
-                request.path,
-                request.body,
-            )
-        return self._digest
-
-    @property
-    def left_ms(self) -> float:
-        return max(0.0, (self.expires_at - trio.current_time()) * 1000)
-
-    def seen(self) -> Progress:
-        may_repeat = self.request.repeatable or self.request.is_keyed
-        return Progress(may_repeat, self.n_attempts, self.left_ms)
-
-
 class AttemptLoop:
     """Attempts of requests, from the choice of an agent to the answer's end.
 
@@ -147,7 +114,7 @@
         """Answer a request, whatever becomes of its attempts."""
         budget = self._budgets[request.upstream]
         budget.note_request()
-        progress = _Progress(request, Answer(responder))
+        progress = RequestProgress(request, Answer(responder))
         last = Failure(
             Outcome.NOT_RUN,
             f"no upstream of {request.upstream} is live",
@@ -165,6 +132,8 @@
                 if verdict is Verdict.CONVICTED:
                     continue
             agent = self._choose(progress, verdict is Verdict.SUSPECT)
+            if agent is None and last.is_planned:
+                agent = await self._wait_for_agent(progress, verdict is Verdict.SUSPECT)
             if agent is None:
                 if request.is_keyed and read_issued_key(request.idempotency_key):
                     progress.outcome = Outcome.UNKNOWN
@@ -175,6 +144,7 @@
                 return
             last = failure
             progress.outcome = combine_outcomes(progress.outcome, failure.outcome)
+            progress.n_planned += failure.is_planned
             step = next_step(failure, progress.seen(), budget)
             log.info(
                 "attempt.failed",
@@ -187,15 +157,26 @@
                 last = failure._replace(reason=step.reason)
                 break
             if failure.outcome is not Outcome.RAN:
-                progress.excluded.add(agent.identity.name)
+                progress.excluded.add(agent.identity)
         await self._give_up(progress, last)
 
-    def _verdict(self, progress: _Progress) -> Verdict | None:
+    async def _wait_for_agent(
+        self, progress: RequestProgress, is_suspect: bool
+    ) -> AgentView | None:
+        """Wait for an agent to resume an answer that the caller has a part of."""
+        agent = None
+        with trio.move_on_after(min(MOVE_WAIT_MS, progress.left_ms) / 1000):
+            while agent is None and progress.answer.is_started:
+                await trio.sleep(MOVE_POLL_MS / 1000)
+                agent = self._choose(progress, is_suspect)
+        return agent
+
+    def _verdict(self, progress: RequestProgress) -> Verdict | None:
         if self.suspects.is_empty:
             return None
         return self.suspects.verdict(progress.digest)
 
-    async def _wait_for_spare(self, progress: _Progress) -> None:
+    async def _wait_for_spare(self, progress: RequestProgress) -> None:
         """Wait a while until a crash would leave enough agents for the others."""
         ends_at = min(
             progress.expires_at, trio.current_time() + SPARE_TIMEOUT_MS / 1000
@@ -205,7 +186,7 @@
                 return
             await trio.sleep(SPARE_POLL_MS / 1000)
 
-    def _refuse(self, progress: _Progress) -> Failure:
+    def _refuse(self, progress: RequestProgress) -> Failure:
         """Return the answer to a request that crashes upstreams."""
         log.info("request.refused", digest=f"{progress.digest:016x}")
         # An earlier one that may not be repeated may have run before the crash.
@@ -214,18 +195,19 @@
         left_ms = self.suspects.left_ms(progress.digest)
         return Failure(outcome, CRASH_REASON, 422, left_ms, is_final=True)
 
-    def _choose(self, progress: _Progress, is_suspect: bool) -> AgentView | None:
+    def _choose(self, progress: RequestProgress, is_suspect: bool) -> AgentView | None:
         """Return the agent for the next attempt, or None."""
         request = progress.request
+        excluded = progress.excluded.names(self._router, request.upstream)
         if not request.is_keyed:
             if is_suspect:
                 return self._router.choose_for_suspect(
-                    request.upstream, progress.digest, progress.excluded
+                    request.upstream, progress.digest, excluded
                 )
-            return self._router.choose(request, frozenset(progress.excluded))
+            return self._router.choose(request, excluded)
         live = {
             view.identity.name: view
-            for view in self._router.live_agents(request.upstream, progress.excluded)
+            for view in self._router.live_agents(request.upstream, excluded)
         }
         owners = rank_owners(
             request.upstream,
@@ -235,7 +217,7 @@
         )
         return live[owners[0]] if owners else None
 
-    async def _give_up(self, progress: _Progress, last: Failure) -> None:
+    async def _give_up(self, progress: RequestProgress, last: Failure) -> None:
         """Answer with the outcome of all attempts, and when to come back."""
         outcome = progress.outcome
         may_come_back = progress.request.repeatable or outcome is Outcome.NOT_RUN
@@ -246,7 +228,9 @@
             last._replace(outcome=outcome, retry_after_ms=retry_after_ms)
         )
 
-    async def _attempt(self, agent: AgentView, progress: _Progress) -> Failure | None:
+    async def _attempt(
+        self, agent: AgentView, progress: RequestProgress
+    ) -> Failure | None:
         """Make one attempt; returns how it failed, or None."""
         progress.n_attempts += 1
         self.n_attempts += 1
@@ -264,7 +248,7 @@
         finally:
             self._router.end(agent, request_id)
 
-    async def _connect(self, agent: AgentView, progress: _Progress) -> Connection:
+    async def _connect(self, agent: AgentView, progress: RequestProgress) -> Connection:
         name = agent.identity.name
         with trio.move_on_at(progress.expires_at):
             connection = await self._peers.connection(agent.address)
@@ -273,7 +257,7 @@
             return connection
         raise PeerUnreachable(f"no connection to {name} before the deadline")
 
-    def _submit(self, progress: _Progress, request_id: RequestId) -> Submit:
+    def _submit(self, progress: RequestProgress, request_id: RequestId) -> Submit:
         request = progress.request
         return Submit(
             request_id=request_id,
@@ -295,7 +279,7 @@
         )
 
     async def _follow(
-        self, connection: Connection, stream: AttemptStream, progress: _Progress
+        self, connection: Connection, stream: AttemptStream, progress: RequestProgress
     ) -> Failure | None:
         """Relay an attempt's answer and learn the outcome of one that failed."""
         try:
@@ -311,7 +295,7 @@
             self._relay.forget(stream)
 
     async def _relay_answer(
-        self, stream: AttemptStream, progress: _Progress
+        self, stream: AttemptStream, progress: RequestProgress
     ) -> Failure | None:
         ends_at = progress.expires_at + DEADLINE_GRACE_MS / 1000
         while True:
@@ -336,7 +320,7 @@
         self,
         connection: Connection,
         stream: AttemptStream,
-        progress: _Progress,
+        progress: RequestProgress,
         failure: Failure,
     ) -> Failure:
         """Stop an attempt whose end did not come and learn its outcome."""
@@ -362,7 +346,7 @@
             await answer.chunk(event)
 
 
-async def _end(event: End | Broken, progress: _Progress) -> Failure | None:
+async def _end(event: End | Broken, progress: RequestProgress) -> Failure | None:
     """Finish the answer, or return how the attempt failed."""
     answer = progress.answer
     match event:
@@ -386,6 +370,9 @@
             if refusal is Refusal.CRASHES_UPSTREAMS and not progress.request.repeatable:
                 # An earlier one may have run before the crash.
                 outcome = Outcome.UNKNOWN
-            return Failure(outcome, error, status, event.retry_after_ms, is_final)
+            is_planned = refusal in (Refusal.LEAVING, Refusal.MOVED)
+            return Failure(
+                outcome, error, status, event.retry_after_ms, is_final, is_planned
+            )
     await answer.finish()
     return None
--- a/poplarward/requests/ends.py
+++ b/poplarward/requests/ends.py
@@ -67,8 +67,14 @@
         refusal=attempt.refusal if attempt.barred else Refusal.DEADLINE,
     )
     if attempt.started:
-        reason = "stopped while it ran"
-        return dataclasses.replace(end, outcome=Outcome.UNKNOWN, error=reason)
+        is_moved = attempt.refusal is Refusal.MOVED
+        reason = "moved, since the agent stops" if is_moved else "stopped while it ran"
+        return dataclasses.replace(
+            end,
+            outcome=Outcome.UNKNOWN,
+            error=reason,
+            refusal=Refusal.MOVED if is_moved else end.refusal,
+        )
     return end
 
 
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -131,13 +132,22 @@
         """Close the connections to the upstream."""
         await self._upstream.close()
 
-    async def drain(self) -> None:
-        """Take no new attempts and return when those in hand have ended."""
+    async def drain(self, wait_ms: float = math.inf) -> None:
+        """Take no new attempts and return when those in hand have ended.
+
+        Attempts that may be repeated and run longer than `wait_ms` are moved: their
+        entry hosts resume them at other agents.
+        """
         self._is_leaving = True
         self._hand_back()
         await self._reporter.report_now()
+        move_at = trio.current_time() + wait_ms / 1000
         while self._attempts:
+            if trio.current_time() >= move_at:
+                for attempt in list(self._attempts.values()):
+                    attempt.move()
             await trio.sleep(DRAIN_POLL_MS / 1000)
+        await self._flush_answers()
         if self._payments and not await self._payments.flush(FLUSH_TIMEOUT_MS):
             log.warning("drain.unflushed", upstream=self._settings.name)
 
@@ -153,6 +163,12 @@
             if not attempt.started and not attempt.is_keyed:
                 attempt.hand_back()
 
+    async def _flush_answers(self) -> None:
+        """Return when every answer is on its way, or its connection is too slow."""
+        with trio.move_on_after(FLUSH_TIMEOUT_MS / 1000):
+            while not all(packer.is_idle for packer in self._packers.values()):
+                await trio.sleep(DRAIN_POLL_MS / 1000)
+
     async def _on_submit(self, connection: Connection, submit: Submit) -> None:
         assert self._nursery is not None
         request_id = submit.request_id
--- a/poplarward/requests/in_hand.py
+++ b/poplarward/requests/in_hand.py
@@ -69,6 +69,12 @@
         self.refusal = Refusal.LEAVING
         self.stop()
 
+    def move(self) -> None:
+        """Stop it while it runs, so that its answer is resumed at another agent."""
+        if self.started and self.submit.repeatable:
+            self.refusal = Refusal.MOVED
+            self.scope.cancel()
+
     def stop(self) -> None:
         """Stop it, unless it is running and may not be repeated."""
         if not self.started:
--- a/poplarward/requests/packing.py
+++ b/poplarward/requests/packing.py
@@ -45,6 +45,13 @@
         self._n_bytes = 0
         self._wake = trio.Event()
         self._is_closed = False
+        self._is_sending = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether all that was added is sent, or can't be sent any more."""
+        is_empty = not (self._heads or self._batches or self._ends)
+        return self._is_closed or (is_empty and not self._is_sending)
 
     def head(self, head: Head) -> None:
         """Add an answer's head; it is sent with what comes after it."""
@@ -107,4 +114,8 @@
         pieces = [Pieces(start_id, list(batches.values()))] if batches else []
         report = self._due_report(self._connection)
         reports = [report] if report is not None else []
-        await self._connection.notify_all([*heads, *pieces, *ends, *reports])
+        self._is_sending = True
+        try:
+            await self._connection.notify_all([*heads, *pieces, *ends, *reports])
+        finally:
+            self._is_sending = False
--- /dev/null
+++ b/poplarward/requests/progress.py
@@ -0,0 +1,77 @@
+"""How far a caller's request has come, over all of its attempts."""
+
+from __future__ import annotations
+
+import trio
+
+from ..protocol import ProcessIdentity
+from ..protocol.requests import Outcome
+from .answers import Answer
+from .caller import CallerRequest
+from .retries import Progress
+from .routing import Router
+from .suspects import request_digest
+
+__all__ = ["Exclusions", "RequestProgress"]
+
+
+class Exclusions:
+    """Agents that a request is not sent to again, unless they are started anew."""
+
+    def __init__(self) -> None:
+        self._start_ids: dict[str, int] = {}
+
+    def add(self, agent: ProcessIdentity) -> None:
+        """Exclude this start of an agent."""
+        self._start_ids[agent.name] = agent.start_id
+
+    def names(self, router: Router, upstream: str) -> frozenset[str]:
+        """Return the excluded agents, without those that were started since."""
+        if not self._start_ids:
+            return frozenset()
+        live = router.live_agents(upstream)
+        now = {view.identity.name: view.identity.start_id for view in live}
+        return frozenset(
+            name
+            for name, start_id in self._start_ids.items()
+            if now.get(name, start_id) == start_id
+        )
+
+
+class RequestProgress:
+    """A request on its way, over all of its attempts."""
+
+    def __init__(self, request: CallerRequest, answer: Answer):
+        self.request = request
+        self.answer = answer
+        self.expires_at = trio.current_time() + request.deadline_ms / 1000
+        self.n_attempts = 0
+        self.n_planned = 0
+        self.outcome = Outcome.NOT_RUN
+        self.excluded = Exclusions()
+        self._digest: int | None = None
+
+    @property
+    def digest(self) -> int:
+        """Names the request in all of its attempts, also through other entry hosts."""
+        if self._digest is None:
+            request = self.request
+            self._digest = request_digest(
+                request.upstream,
+                request.workspace,
+                request.method,
+                request.path,
+                request.body,
+            )
+        return self._digest
+
+    @property
+    def left_ms(self) -> float:
+        """Time until the request's deadline."""
+        return max(0.0, (self.expires_at - trio.current_time()) * 1000)
+
+    def seen(self) -> Progress:
+        """Return what decides on another attempt."""
+        may_repeat = self.request.repeatable or self.request.is_keyed
+        n_unplanned = self.n_attempts - self.n_planned
+        return Progress(may_repeat, n_unplanned, self.left_ms)
--- a/poplarward/requests/retries.py
+++ b/poplarward/requests/retries.py
@@ -38,6 +38,8 @@
         When the caller may come back; 0 if coming back is of no use.
     is_final : bool
         Whether another attempt would fail likewise.
+    is_planned : bool
+        Whether the agent gave the attempt up because its host leaves.
     """
 
     outcome: Outcome
@@ -45,6 +47,7 @@
     status: int
     retry_after_ms: float = 0.0
     is_final: bool = False
+    is_planned: bool = False
 
 
 class Progress(NamedTuple):
@@ -56,7 +59,7 @@
         Whether another attempt does no harm: the request is idempotent, or its key
         makes it run at most once.
     n_attempts : int
-        Attempts made so far.
+        Attempts made so far, without those that ended as planned.
     left_ms : float
         Time until the request's deadline.
     """
@@ -123,7 +126,9 @@
 ) -> Retry | GiveUp:
     """Return what to do after a failed attempt.
 
-    A call that may not be repeated is tried again only if it surely did not run.
+    A call that may not be repeated is tried again only if it surely did not run. An
+    agent that leaves is no sign of overload, and gives up each attempt once, so moving
+    on from it takes nothing from the budget.
     """
     if failure.is_final:
         return GiveUp(failure.reason)
@@ -131,6 +136,8 @@
         return GiveUp(failure.reason)
     if progress.left_ms < MIN_TIME_LEFT_MS:
         return GiveUp(f"the deadline has passed; last attempt: {failure.reason}")
+    if failure.is_planned:
+        return Retry()
     if progress.n_attempts >= MAX_ATTEMPTS:
         return GiveUp(f"{progress.n_attempts} attempts failed: {failure.reason}")
     if not budget.take():
--- a/tests/programs/test_planned_stop.py
+++ b/tests/programs/test_planned_stop.py
@@ -56,3 +56,39 @@
             assert "n_requests=1 " in entry.log.read_text()
         assert await agent.wait() == 0
         assert await entry.wait() == 0
+
+
+async def load_of(engine):
+    client = HttpClient(f"http://{engine.host}:7000")
+    load = json.loads((await client.call("GET", "/load")).body)
+    await client.close()
+    return load
+
+
+async def test_stream_longer_than_the_stop_of_an_agent_goes_on_at_another():
+    async with Deployment() as deployment:
+        engines = []
+        for i in range(2):
+            engine = await deployment.start_standin(f"engine-{i}", "engine", [])
+            engines.append(engine)
+            url = f"http://{engine.host}:7000"
+            await deployment.start_agent(
+                f"agent-{i}", "rennes", "engine", "drafts", url, stop_wait_ms=100
+            )
+        await deployment.start_entry("entry-1", "rennes")
+        await deployment.apply("entry-1", workspace("ateliers", "caller"))
+        await deployment.apply("entry-1", model_group("drafts", "portrait"))
+        entry_url = "http://" + deployment.settings["entry-1"]["callers_listen"]
+        await wait_until_served(entry_url)
+        async with trio.open_nursery() as nursery:
+            first_piece = trio.Event()
+            nursery.start_soon(stream_whole, entry_url, first_piece)
+            await first_piece.wait()
+            loads = [await load_of(engine) for engine in engines]
+            busy = [load["n_running"] for load in loads].index(1)
+            assert await deployment.processes[f"agent-{busy}"].stop() == 0
+            n_before = loads[1 - busy]["n_requests"]
+            with trio.fail_after(10):
+                while (await load_of(engines[1 - busy]))["n_requests"] == n_before:
+                    await trio.sleep(0.02)
+            assert (await load_of(engines[busy]))["n_running"] == 0
--- a/tests/requests/test_leaving.py
+++ b/tests/requests/test_leaving.py
@@ -4,9 +4,16 @@
 
 import trio
 
-from benchmarks.memory_path import Caller, MemoryPath, MemoryUpstream, draft
+from benchmarks.memory_path import (
+    Caller,
+    MemoryPath,
+    MemoryUpstream,
+    draft,
+    payment,
+)
 from poplarward.protocol.reports import UpstreamState
 from poplarward.standins.engine import EngineStandin, EngineTiming, completion_words
+from poplarward.standins.ledger import LedgerStandin
 
 WORDS = completion_words("A grey cat.", 20)
 
@@ -18,15 +25,17 @@
         self.path = path
         self.timing = EngineTiming(step_ms, n_slots)
         self.engines = {}
+        self.n_started = 0
         self.standings = {}
 
     async def start(self, name, standing=UpstreamState.LIVE):
+        self.n_started += 1
         engine = self.engines[name] = EngineStandin(self.timing)
         self.path.nursery.start_soon(engine.run)
         self.standings[name] = standing
         await self.path.start_agent(
             name,
-            f"10.2.0.{len(self.engines)}",
+            f"10.2.0.{self.n_started}",
             "engine",
             "drafts",
             MemoryUpstream(self.path.nursery, engine.handle),
@@ -80,3 +89,68 @@
     await entry.run(draft(), caller)
     assert caller.words() == WORDS
     nursery.cancel_scope.cancel()
+
+
+async def drain(path, engines, name, wait_ms):
+    """Stop an agent as its program does; return how long that took, in seconds."""
+    began = trio.current_time()
+    await path.agents[name].drain(wait_ms)
+    assert engines.engines[name].n_running == 0
+    return trio.current_time() - began
+
+
+async def test_streams_too_long_for_a_stop_are_moved_whole(nursery, autojump_clock):
+    """More of them than the budget of retries would let pass, more often than four."""
+    path = MemoryPath(nursery)
+    engines = Engines(path, n_slots=40)
+    for i in range(6):
+        await engines.start(f"agent-{i}")
+    entry = await path.start_entry()
+    callers = [Caller() for _ in range(30)]
+    for caller in callers:
+        request = draft(n_tokens=400, deadline_ms=60_000)
+        nursery.start_soon(entry.run, request, caller)
+    await trio.sleep(1)
+    for i in range(5):
+        assert await drain(path, engines, f"agent-{i}", 500) < 1
+        await trio.sleep(0.5)
+    await trio.sleep(30)
+    words = completion_words("A grey cat.", 400)
+    assert [caller.words() for caller in callers] == [words] * 30
+    assert all(caller.body.count(b"[DONE]") == 1 for caller in callers)
+    nursery.cancel_scope.cancel()
+
+
+async def test_stream_of_the_only_engine_waits_for_its_next_start(
+    nursery, autojump_clock
+):
+    path = MemoryPath(nursery)
+    engines = Engines(path)
+    await engines.start("agent-1")
+    entry = await path.start_entry()
+    caller = Caller()
+    nursery.start_soon(entry.run, draft(n_tokens=100), caller)
+    await trio.sleep(1)
+    await drain(path, engines, "agent-1", 500)
+    await trio.sleep(3)
+    path.cut.add(path.addresses["agent-1"].host)
+    await engines.start("agent-1")
+    await trio.sleep(12)
+    assert caller.words() == completion_words("A grey cat.", 100)
+    nursery.cancel_scope.cancel()
+
+
+async def test_payment_that_runs_is_not_moved(nursery, autojump_clock):
+    path = MemoryPath(nursery)
+    ledger = LedgerStandin(work_ms=5000)
+    client = MemoryUpstream(nursery, ledger.handle)
+    await path.start_agent("agent-1", "10.2.0.1", "plain", "ledger", client)
+    entry = await path.start_entry()
+    caller = Caller()
+    nursery.start_soon(entry.run, payment("r-1", deadline_ms=20_000), caller)
+    await trio.sleep(1)
+    await path.agents["agent-1"].drain(500)
+    await trio.sleep(0.1)
+    assert (caller.status, caller.outcome) == (201, "ran")
+    assert len(ledger.postings) == 1
+    nursery.cancel_scope.cancel()
