--- a/benchmarks/rolling_restart.py
+++ b/benchmarks/rolling_restart.py
@@ -7,11 +7,13 @@
 
 Usage:
   benchmarks.rolling_restart [--seed N] [--json] [--quiet-seconds S]
+                             [--stop-wait-ms MS]
 
 Options:
   --seed N           Seed of the load [default: 1].
   --json             Print the result as JSON.
   --quiet-seconds S  How long requests are sent before the first stop [default: 10].
+  --stop-wait-ms MS  How long an agent that stops waits for streams [default: 20000].
 """
 
 from __future__ import annotations
@@ -205,14 +207,15 @@
         return False
 
 
-async def run(seed: int, quiet_s: float) -> dict[str, Any]:
+async def run(seed: int, quiet_s: float, stop_wait_ms: float) -> dict[str, Any]:
     """Run the benchmark; returns its result."""
     rng = random.Random(seed)
     quiet, restarting = Tallies(), Tallies()
     part = quiet
     is_over = trio.Event()
     async with Deployment() as deployment:
-        rolling = RollingRestart(deployment, 3, 4, rng)
+        agent_settings = {"stop_wait_ms": stop_wait_ms}
+        rolling = RollingRestart(deployment, 3, 4, rng, None, agent_settings)
         await rolling.start()
 
         async def arrivals(kind: str, nursery: trio.Nursery) -> None:
@@ -233,6 +236,7 @@
         await rolling.close()
     return {
         "seed": seed,
+        "stop_wait_ms": stop_wait_ms,
         "quiet": {name: _summary(tally) for name, tally in quiet.all().items()},
         "restarting": {
             name: _summary(tally) for name, tally in restarting.all().items()
@@ -270,7 +274,8 @@
     """Run the benchmark named on the command line."""
     arguments = docopt(__doc__)
     quiet_s = float(arguments["--quiet-seconds"])
-    result = trio.run(run, int(arguments["--seed"]), quiet_s)
+    stop_wait_ms = float(arguments["--stop-wait-ms"])
+    result = trio.run(run, int(arguments["--seed"]), quiet_s, stop_wait_ms)
     if arguments["--json"]:
         print(json.dumps(result, indent=2))
     else:
--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -13,10 +13,11 @@
 from ..protocol.identity import new_start_id
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
+from ..requests.in_hand import AttemptInHand
 from ..requests.kv_admission import HEADROOM_SHARE
 from ..requests.payments import Payments
 from ..state import ConfigurationView, HttpObjectStore, drained_hosts
-from ..telemetry import get_logger
+from ..telemetry import AgentLoadNow, AgentMetrics, get_logger
 from ..transport import Address, HttpClient, asgi_application, serve_http
 from .monitoring import Monitoring
 from .settings import (
@@ -77,7 +78,11 @@
         self.maps: MapKeeper | None = None
         if self.upstream.kind is UpstreamKind.ENGINE:
             self._make_maps(section.get("ranks", []))
-        self.monitoring = Monitoring(lambda: generate_latest(REGISTRY), self.missing)
+        self.metrics = AgentMetrics(self._load_now)
+        self.executor.on_ran.append(self._note_ran)
+        self.monitoring = Monitoring(
+            lambda: generate_latest(REGISTRY) + self.metrics.render(), self.missing
+        )
 
     def _make_executor(self, identity: ProcessIdentity) -> Executor:
         payments = None
@@ -103,6 +108,21 @@
         engine = HttpEngineControl(client)
         self.maps = MapKeeper(self.peers, group, engine, self.fences, ranks)
 
+    def _load_now(self) -> AgentLoadNow:
+        load = self.executor.read_load()
+        takes_work = load.state is UpstreamState.LIVE
+        return AgentLoadNow(load.n_running, load.n_waiting, load.n_slots, takes_work)
+
+    def _note_ran(self, attempt: AttemptInHand) -> None:
+        submit = attempt.submit
+        self.metrics.observe(
+            submit.workspace,
+            submit.priority_class,
+            wait_ms=1000 * (attempt.started_at - attempt.arrived_at),
+            run_ms=1000 * (trio.current_time() - attempt.started_at),
+            n_pieces=attempt.n_pieces - submit.n_pieces_received,
+        )
+
     async def run(self) -> None:
         """Serve until a signal asks to stop, then end once nothing is cut off."""
         async with trio.open_nursery() as nursery:
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -46,6 +46,11 @@
 class Executor:
     """Admits, runs, bars and reports the attempts of one upstream.
 
+    Attributes
+    ----------
+    on_ran : list of callable
+        Called with each attempt that has had a slot, at its end.
+
     Parameters
     ----------
     peers : Peers
@@ -90,11 +95,12 @@
             lambda: self.state is UpstreamState.LEAVING,
             payments,
         )
+        self.on_ran: list[Callable[[AttemptInHand], None]] = []
         self._attempts: dict[RequestId, AttemptInHand] = {}
         self._outcomes = OutcomeRecord()
         self._packers: dict[Connection, PiecePacker] = {}
         self._nursery: trio.Nursery | None = None
-        self._reporter = LoadReporter(peers, self._read_load)
+        self._reporter = LoadReporter(peers, self.read_load)
         peers.register(Submit, self._on_submit)
         peers.register(Cancel, self._on_cancel)
         peers.register(Bar, self._on_bar)
@@ -249,6 +255,9 @@
             # The entry host must know before it makes the next attempt.
             await self._spread.tell(attempt.connection)
         attempt.packer.end(end)
+        if attempt.started:
+            for callback in self.on_ran:
+                callback(attempt)
 
     async def _note_refusal(self) -> None:
         was_live = self.state is UpstreamState.LIVE
@@ -256,7 +265,8 @@
         if was_live:
             await self._reporter.report_now()
 
-    def _read_load(self) -> AgentReport:
+    def read_load(self) -> AgentReport:
+        """Return a report of the load as it is now, with number 0."""
         n_running = sum(attempt.has_piece for attempt in self._attempts.values())
         return AgentReport(
             upstream_kind=self._settings.kind,
--- a/poplarward/requests/in_hand.py
+++ b/poplarward/requests/in_hand.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from ..protocol import Connection
@@ -27,6 +29,8 @@
         Whether the upstream crashed while it ran.
     turn : Turn, optional
         Its turn among the suspects.
+    arrived_at, started_at : float
+        When it came and when it got its slot, in seconds.
     refusal : Refusal
         Why the agent ended it, if it did.
     """
@@ -37,6 +41,8 @@
         self.packer = packer
         self.scope = trio.CancelScope()
         self.ended = trio.Event()
+        self.arrived_at = trio.current_time()
+        self.started_at = math.inf
         self.started = False
         self.barred = False
         self.is_suspect = False
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -131,6 +131,7 @@
             if attempt.barred:
                 return None
             attempt.started = True
+            attempt.started_at = trio.current_time()
             if not attempt.submit.repeatable:
                 # Its outcome is worth more than the deadline.
                 attempt.scope.deadline = trio.current_time() + 1e9
--- a/poplarward/telemetry/metrics.py
+++ b/poplarward/telemetry/metrics.py
@@ -11,7 +11,7 @@
     generate_latest,
 )
 
-__all__ = ["GroupMetrics", "RequestMetrics", "RequestTimer"]
+__all__ = ["GroupMetrics", "RequestMetrics", "RequestTimer", "WorkspaceLabels"]
 
 MAX_LABELLED_WORKSPACES = 200
 OTHER_WORKSPACES = "other"
@@ -22,6 +22,26 @@
 _SKEW_BUCKETS = (1.02, 1.05, 1.1, 1.2, 1.5, 2.0, 4.0)
 
 
+class WorkspaceLabels:
+    """Names workspaces in metrics, so that their number stays bounded.
+
+    Only the first `MAX_LABELLED_WORKSPACES` seen get a label of their own; the others
+    share one.
+    """
+
+    def __init__(self) -> None:
+        self._labelled: set[str] = set()
+
+    def label(self, workspace: str) -> str:
+        """Return the label of a workspace."""
+        if workspace in self._labelled:
+            return workspace
+        if len(self._labelled) < MAX_LABELLED_WORKSPACES:
+            self._labelled.add(workspace)
+            return workspace
+        return OTHER_WORKSPACES
+
+
 class RequestMetrics:
     """What callers of an entry host experience.
 
@@ -38,7 +58,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self._labelled: set[str] = set()
+        self._label = WorkspaceLabels().label
 
         def histogram(name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
             return Histogram(
@@ -89,14 +109,6 @@
         """Return the metrics in Prometheus' text format."""
         return generate_latest(self.registry)
 
-    def _label(self, workspace: str) -> str:
-        if workspace in self._labelled:
-            return workspace
-        if len(self._labelled) < MAX_LABELLED_WORKSPACES:
-            self._labelled.add(workspace)
-            return workspace
-        return OTHER_WORKSPACES
-
 
 class RequestTimer:
     """Times one request from its arrival to the end of its answer."""
--- a/tests/programs/test_agent_host.py
+++ b/tests/programs/test_agent_host.py
@@ -90,6 +90,18 @@
             await trio.sleep(0.05)
 
 
+async def check_metrics(deployment, agent):
+    """Check that an agent shows what it ran and that it takes no work now."""
+    client = HttpClient("http://" + deployment.settings[agent]["metrics_listen"])
+    text = (await client.call("GET", "/metrics")).body.decode()
+    await client.close()
+    labels = 'priority_class="drafting",workspace="ateliers"'
+    assert "poplarward_agent_takes_work 0.0" in text
+    assert "poplarward_agent_slots 32.0" in text
+    assert f"poplarward_agent_queue_wait_seconds_count{{{labels}}}" in text
+    assert f"poplarward_agent_step_seconds_count{{{labels}}}" in text
+
+
 @pytest.mark.parametrize("told_by", ["operator", "host list"])
 async def test_agent_refuses_work_by_itself_while_its_host_leaves(told_by):
     async with Deployment() as deployment, trio.open_nursery() as nursery:
@@ -114,6 +126,7 @@
         else:
             await deployment.list_host("agent-1", "leaving")
         await wait_until_missing(deployment, "agent-1", ["the agent is leaving"])
+        await check_metrics(deployment, "agent-1")
         n_requests = (await get(engine_url))["n_requests"]
         # What was learnt stays while the store is away, and over a restart.
         await deployment.set_store_faults(is_down=True)
