--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,11 +1,14 @@
 """Cost of membership for each host, and how soon and how rightly it judges.
 
 Usage:
-  membership [--json] [--seed N]
+  membership [--json] [--seed N] [--sizes LIST] [--near N] [--cost-only]
 
 Options:
-  --json    Print one JSON document (the only form).
-  --seed N  Seed of every random choice [default: 1].
+  --json        Print one JSON document (the only form).
+  --seed N      Seed of every random choice [default: 1].
+  --sizes LIST  Numbers of entry hosts, by comma [default: 8,16,32,64].
+  --near N      Entry hosts of a data centre [default: 8].
+  --cost-only   Kill and delay nothing, which takes long with many hosts.
 
 Entry hosts and agents run on memory channels in virtual time. Messages, bytes and
 judgements are the same on every run with one seed; processor time is not. It is that
@@ -17,6 +20,7 @@
 import json
 import random
 import time
+import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
@@ -31,12 +35,13 @@
 from poplarward.coordination.membership.table import MemberTable
 from poplarward.coordination.membership.view import MemberView
 from poplarward.protocol import Peers, ProcessIdentity
+from poplarward.slices import at_once
 from poplarward.telemetry import configure_logs
 from poplarward.transport import Address, LinkFaults, MemoryNetwork
 
-SIZES = [8, 16, 32, 64]
+from .pauses import sliced_cost_ms
+
 N_AGENTS_PER_ENTRY = 10
-N_ENTRIES_PER_DATA_CENTRE = 8
 SETTLE_S = 10
 MEASURED_S = 20
 N_KILLS = 5
@@ -74,14 +79,14 @@
 class _Fleet:
     """All hosts of one run, and what their membership says."""
 
-    def __init__(self, n_entries: int, seed: int):
+    def __init__(self, n_entries: int, n_near: int, seed: int):
         self.seed = seed
         self.faults = LinkFaults(delay_ms=1, jitter_ms=1)
         self.network = MemoryNetwork(self.faults, seed)
         self.listed: list[HostEntry] = []
         self.n_false = 0
         self.dead: set[str] = set()
-        n_centres = max(1, n_entries // N_ENTRIES_PER_DATA_CENTRE)
+        n_centres = max(1, n_entries // n_near)
         sizes = {"entry": n_entries, "agent": n_entries * N_AGENTS_PER_ENTRY}
         self.hosts = [
             _Host(self, role, i, f"dc-{i % n_centres}")
@@ -122,21 +127,30 @@
         return (trio.current_time() - started_at) * 1000
 
 
-async def _measure(n_entries: int, seed: int) -> dict[str, Any]:
+async def _measure(
+    n_entries: int, n_near: int, seed: int, is_cost_only: bool = False
+) -> dict[str, Any]:
     rng = random.Random(seed)
-    fleet = _Fleet(n_entries, seed)
+    fleet = _Fleet(n_entries, n_near, seed)
     async with trio.open_nursery() as nursery:
         for host in fleet.hosts:
             await nursery.start(host.run)
         await trio.sleep(SETTLE_S)
         cost = await _cost(fleet)
+        size = {
+            "entries": n_entries,
+            "entries_of_a_data_centre": n_near,
+            "agents": n_entries * N_AGENTS_PER_ENTRY,
+        }
+        if is_cost_only:
+            nursery.cancel_scope.cancel()
+            return size | cost
         nursery.start_soon(fleet.count_false)
         stalls = await _stall_links(fleet, rng)
         detection = [await _kill_one(fleet, rng) for _ in range(N_KILLS)]
         nursery.cancel_scope.cancel()
     return {
-        "entries": n_entries,
-        "agents": n_entries * N_AGENTS_PER_ENTRY,
+        **size,
         **cost,
         "stalls": stalls,
         "false_suspicions": fleet.n_false,
@@ -149,6 +163,7 @@
     """Return what each host sends, and the processor time for each entry host."""
     network = fleet.network
     n_messages, n_bytes = dict(network.n_messages), dict(network.n_bytes)
+    n_received = dict(network.n_bytes_received)
     cpu_s = time.process_time()
     await trio.sleep(MEASURED_S)
     cpu_s = time.process_time() - cpu_s
@@ -157,6 +172,13 @@
         ips = [h.address.host for h in fleet.hosts if h.name.startswith(role)]
         sent = [network.n_messages.get(ip, 0) - n_messages.get(ip, 0) for ip in ips]
         size = [network.n_bytes.get(ip, 0) - n_bytes.get(ip, 0) for ip in ips]
+        received = [
+            network.n_bytes_received.get(ip, 0) - n_received.get(ip, 0) for ip in ips
+        ]
+        cost[f"{role}_bytes_received_per_s"] = round(
+            sum(received) / len(ips) / MEASURED_S
+        )
+        cost[f"{role}_bytes_received_per_s_max"] = round(max(received) / MEASURED_S)
         cost[f"{role}_messages_per_s"] = round(sum(sent) / len(ips) / MEASURED_S, 1)
         cost[f"{role}_bytes_per_s"] = round(sum(size) / len(ips) / MEASURED_S)
         cost[f"{role}_bytes_per_s_max"] = round(max(size) / MEASURED_S)
@@ -196,8 +218,7 @@
     return suspect_ms, suspect_ms + await fleet.wait_until(gone)
 
 
-def _table_cost(n_entries: int, n_agents: int, n_centres: int) -> dict[str, Any]:
-    """Return the processor time of what a host works out over the whole table."""
+def _table_of(n_entries: int, n_agents: int, n_centres: int) -> MemberTable:
     table = MemberTable()
     for role, n in (("entry", n_entries), ("agent", n_agents)):
         table.merge(
@@ -213,29 +234,45 @@
             )
             for i in range(n)
         )
+    return table
+
+
+def _table_cost(n_entries: int, n_agents: int, n_centres: int) -> dict[str, Any]:
+    """Return the processor time of what a host works out over the whole table."""
+    tracemalloc.start()
+    table = _table_of(n_entries, n_agents, n_centres)
+    table_bytes = tracemalloc.get_traced_memory()[0]
     view = MemberView(table, Reachability())
-    records = table.records.values()
+    records = list(table.records.values())
+    fewer = [record for record in records if record.name != f"entry-{n_centres + 1}"]
+    assignment = WatchAssignment("entry-1")
+    at_once(assignment.watched(records))
+    view.live("entry", None)
+    all_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
     assignment = WatchAssignment("entry-1")
+    costs = {
+        f"watched_{name}_ms": sliced_cost_ms(assignment.watched(found))
+        for name, found in (("first", records), ("one_left", fewer), ("same", fewer))
+    }
     return {
         "entries": n_entries,
         "agents": n_agents,
         "data_centres": n_centres,
-        "watched_new_entries_us": _time_us(
-            lambda: WatchAssignment("entry-1").watched(records)
-        ),
-        "watched_same_entries_us": _time_us(
-            lambda: assignment.watched(records), n_before=1
-        ),
+        "table_bytes": table_bytes,
+        "rankings_and_view_bytes": all_bytes - table_bytes,
+        **costs,
+        "watched_fields": ["whole", "longest slice"],
         "delegates_us": _time_us(lambda: delegates_of(records)),
         "view_us": _time_us(lambda: (view.clear(), view.not_live("agent"))),
+        "live_entries_us": _time_us(lambda: (view.clear(), view.live("entry", None))),
+        "gone_us": _time_us(lambda: view.gone("agent")),
         "digest_us": _time_us(table.digest),
-        "n_watched": len(assignment.watched(records)),
+        "n_watched": len(at_once(assignment.watched(records))),
     }
 
 
-def _time_us(work: Callable[[], Any], n_before: int = 0) -> int:
-    for _ in range(n_before):
-        work()
+def _time_us(work: Callable[[], Any]) -> int:
     started = time.process_time()
     for _ in range(5):
         work()
@@ -244,17 +281,26 @@
 
 def main() -> None:
     """Run the benchmark."""
-    seed = int(docopt(__doc__)["--seed"])
+    arguments = docopt(__doc__)
+    seed, n_near = int(arguments["--seed"]), int(arguments["--near"])
+    sizes = [int(size) for size in arguments["--sizes"].split(",")]
     configure_logs("membership", "error")
     runs = [
-        trio.run(_measure, size, seed, clock=MockClock(autojump_threshold=0))
-        for size in SIZES
+        trio.run(
+            _measure,
+            size,
+            n_near,
+            seed,
+            arguments["--cost-only"],
+            clock=MockClock(autojump_threshold=0),
+        )
+        for size in sizes
     ]
     document = {
         "seed": seed,
         "targets": TARGETS,
         "runs": runs,
-        "table": _table_cost(1000, 10_000, 18),
+        "tables": [_table_cost(n, 10_000, 18) for n in (1000, 5000)],
     }
     print(json.dumps(document, indent=1))
 
--- a/benchmarks/memory_path.py
+++ b/benchmarks/memory_path.py
@@ -65,7 +65,7 @@
         self.bodies = []
         self._nursery = nursery
         self._handler = handler
-        self._open = set()
+        self._open = {}
 
     def crash(self) -> None:
         """Break off whatever runs and refuse new calls."""
@@ -93,13 +93,13 @@
         self.bodies.append(body)
         send, receive = trio.open_memory_channel(math.inf)
         left = trio.Event()
-        self._open.add(send)
+        self._open[send] = True
         self._nursery.start_soon(self._serve, method, path, body, send, left)
         try:
             yield await _MemoryResponse.begin(receive)
         finally:
             left.set()
-            self._open.discard(send)
+            del self._open[send]
 
     async def _serve(self, method, path, body, send, left):
         events = [{"type": "http.request", "body": body}]
@@ -195,13 +195,25 @@
         return Peers(self.network.host(host), identity, "s")
 
     async def start_agent(
-        self, name, host, kind, upstream, client, n_slots=8, payments=None
+        self,
+        name,
+        host,
+        kind,
+        upstream,
+        client,
+        n_slots=8,
+        payments=None,
+        kv_limit_tokens=0,
+        **options,
     ):
         """Start an agent, or a new start of it; returns its executor and scope."""
         peers = self._peers("agent", name, host)
-        settings = UpstreamSettings(UpstreamKind(kind), upstream, "", n_slots)
-        extra = {} if payments is None else {"payments": payments(peers.identity)}
-        executor = Executor(peers, settings, client, **extra)
+        settings = UpstreamSettings(
+            UpstreamKind(kind), upstream, "", n_slots, kv_limit_tokens=kv_limit_tokens
+        )
+        if payments is not None:
+            options["payments"] = payments(peers.identity)
+        executor = Executor(peers, settings, client, **options)
         scope = await self.nursery.start(self._run_agent, executor, peers)
         self.agents[name] = executor
         self.addresses[name] = peers.identity.address
@@ -219,6 +231,7 @@
         table = AgentTable(peers)
         loop = AttemptLoop(peers, Relay(peers), Router(table), **options)
         await peers.start(self.nursery)
+        await loop.start(self.nursery)
         self.nursery.start_soon(self._keep_connected, peers)
         await trio.sleep(0.5)
         return loop
--- a/benchmarks/routing_subset.py
+++ b/benchmarks/routing_subset.py
@@ -5,7 +5,8 @@
   routing_subset (-h | --help)
 
 Options:
-  --hosts H         Agents of one pool [default: 10000].
+  --hosts H         Agents [default: 10000].
+  --pools P         Pools that the agents are divided into [default: 1].
   --entries E       Entry hosts [default: 1000].
   --data-centres D  Data centres [default: 18].
   --sample S        Entry hosts of the first data centres measured [default: 60].
@@ -14,6 +15,7 @@
   -h --help         Show this text.
 
 ``first_ms`` is the time of a first answer, ``change_ms`` of one after a host has left.
+The longest slices are how long the event loop serves nobody else meanwhile.
 """
 
 from __future__ import annotations
@@ -21,11 +23,13 @@
 import json
 import random
 import statistics
-import time
 
 from docopt import docopt
 
-from poplarward.requests.routing.subset import PoolMember, agents_to_connect
+from poplarward.requests.routing.subset import AgentSubset, PoolMember
+from poplarward.slices import at_once
+
+from .pauses import sliced_cost_ms
 
 __all__ = ["main"]
 
@@ -36,31 +40,34 @@
     n_sites = int(arguments["--data-centres"])
     entries = _members("entry", int(arguments["--entries"]), n_sites)
     agents = _members("agent", int(arguments["--hosts"]), n_sites)
+    n_pools = int(arguments["--pools"])
+    pools = [agents[i::n_pools] for i in range(n_pools)]
     rng = random.Random(int(arguments["--seed"]))
-    began = time.perf_counter()
-    agents_to_connect(entries[0], entries, agents)
-    first_ms = 1000 * (time.perf_counter() - began)
+    first_ms = sliced_cost_ms(AgentSubset(entries[0]).choose(entries, pools))
     leaver = rng.choice(entries)
     others = [entry for entry in entries if entry != leaver]
     sample = rng.sample(others, min(len(others), int(arguments["--sample"])))
     sizes, n_moved, change_ms = [], 0, []
     for entry in sample:
-        before = set(agents_to_connect(entry, entries, agents))
-        began = time.perf_counter()
-        after = set(agents_to_connect(entry, others, agents))
-        change_ms.append(1000 * (time.perf_counter() - began))
+        subset = AgentSubset(entry)
+        before = at_once(subset.choose(entries, pools))
+        change_ms.append(sliced_cost_ms(subset.choose(others, pools)))
+        after = at_once(AgentSubset(entry).choose(others, pools))
         sizes.append(len(before))
         n_moved += len(before ^ after)
     document = {
         "n_hosts": len(agents),
+        "n_pools": n_pools,
         "n_entries": len(entries),
         "n_data_centres": n_sites,
         "connections_min": min(sizes),
         "connections_mean": round(statistics.mean(sizes), 1),
         "connections_max": max(sizes),
         "moved_per_entry_host_that_left": round(n_moved / len(sample), 3),
-        "first_ms": round(first_ms, 1),
-        "change_ms": round(statistics.median(change_ms), 1),
+        "first_ms": first_ms[0],
+        "first_longest_slice_ms": first_ms[1],
+        "change_ms": round(statistics.median(cost[0] for cost in change_ms), 1),
+        "change_longest_slice_ms": max(cost[1] for cost in change_ms),
     }
     print(json.dumps(document, indent=1))
 
--- a/poplarward/coordination/membership/membership.py
+++ b/poplarward/coordination/membership/membership.py
@@ -9,14 +9,16 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import trio
 
-from ...protocol import Peers
+from ...protocol import Connection, Peers
 from ...protocol.heartbeats import MemberRecord, MemberState, ProbeReply
+from ...slices import in_slices
 from ...telemetry import get_logger
 from ...transport import Address
 from ..hosts import HostEntry
@@ -32,6 +34,8 @@
 
 ASSIGN_INTERVAL_MS = 500.0
 ISOLATED_INTERVALS = 2.5
+# Longer than a link that failed is left alone before it is opened again.
+AFTER_LOSS_S = 0.3
 
 _MAY_LEAVE = (MemberState.LIVE, MemberState.SUSPECT)
 
@@ -45,6 +49,8 @@
     ----------
     probe_interval_ms : float
         Time between the probes of one watcher.
+    agent_probe_interval_ms : float
+        The same for an agent that has answered the last probe.
     suspect_ms : float
         Time from a suspicion until the process counts as gone.
     forget_ms : float
@@ -52,6 +58,7 @@
     """
 
     probe_interval_ms: float = 1000.0
+    agent_probe_interval_ms: float = 2000.0
     suspect_ms: float = 5000.0
     forget_ms: float = 60_000.0
 
@@ -65,6 +72,8 @@
         This process's own record.
     listed_hosts : callable
         Returns the platform's list of hosts, lagging as it may.
+    n_list_reads : callable, optional
+        Returns how often that list was read; by default each call is a new read.
 
     Attributes
     ----------
@@ -79,6 +88,7 @@
         listed_hosts: Callable[[], Iterable[HostEntry]],
         timing: MembershipTiming | None = None,
         seed: int = 0,
+        n_list_reads: Callable[[], int] | None = None,
     ):
         self.on_change: list[Callable[[], None]] = []
         self._peers = peers
@@ -99,13 +109,17 @@
         )
         self._view = MemberView(self._table, self._centres.reachability)
         self._watches: dict[str, trio.CancelScope] = {}
+        self._links_lost: dict[str, trio.Event] = {}
         self._assignment = WatchAssignment(peers.identity.name)
         self._needs_assignment = True
         self._answered_at = 0.0
         self._gone_at: dict[str, float] = {}
         self._hosts_read: dict[str, HostEntry] = {}
+        self._n_list_reads = n_list_reads or itertools.count().__next__
+        self._marked_leaving: dict[str, tuple[int, int]] = {}
         self._scope = trio.CancelScope()
         presence.table_digest = self._table.digest
+        peers.on_lost.append(self._note_lost)
 
     def members(
         self, role: str | None = None, data_centre: str | None = None
@@ -123,6 +137,10 @@
         """Return the names of a role's processes that may not be given work."""
         return self._view.not_live(role)
 
+    def gone(self, role: str) -> set[str]:
+        """Return the names of a role's processes that count as gone."""
+        return self._view.gone(role)
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to watch and to be watched."""
         self._read_hosts()
@@ -180,22 +198,39 @@
                     self._forget_gone()
                     if self._needs_assignment:
                         self._needs_assignment = False
-                        self._assign(nursery)
+                        await self._assign(nursery)
                     await trio.sleep(ASSIGN_INTERVAL_MS / 1000)
 
     def _read_hosts(self) -> None:
         """Take over what only the platform's list says."""
         hosts = {host.name: host for host in self._listed_hosts()}
+        n_reads = self._n_list_reads()
         news = []
         for host in hosts.values():
             held = self._table.records.get(host.name)
             if held is None:
                 news.append(_record_of(host))
-            elif host.state == "leaving" and held.state in _MAY_LEAVE:
-                news.append(held._replace(state=MemberState.LEAVING))
+            elif host.state == "leaving":
+                news += self._mark_leaving(held, n_reads)
+            elif self._marked_leaving.pop(host.name, None) is not None:
+                news += _take_back(held)
         self._hosts_read = hosts
         self._spreader.publish(self._merge(news))
 
+    def _mark_leaving(self, held: MemberRecord, n_reads: int) -> list[MemberRecord]:
+        """Return the news that a listed host leaves.
+
+        It is told once for each start of the host and each reading of the list,
+        since an entry host that has read a newer one may take it back.
+        """
+        mark = (held.start_id, n_reads)
+        if self._marked_leaving.get(held.name) == mark:
+            return []
+        self._marked_leaving[held.name] = mark
+        if held.state not in _MAY_LEAVE:
+            return []
+        return [held._replace(state=MemberState.LEAVING)]
+
     def _forget_gone(self) -> None:
         """Drop processes that have been gone for long and are not listed."""
         limit = trio.current_time() - self._timing.forget_ms / 1000
@@ -209,9 +244,10 @@
                 self._needs_assignment = True
                 self._changed()
 
-    def _assign(self, nursery: trio.Nursery) -> None:
+    async def _assign(self, nursery: trio.Nursery) -> None:
         """Begin and end watches as the entry hosts come and go."""
-        watched = self._assignment.watched(self._table.records.values())
+        records = list(self._table.records.values())
+        watched = await in_slices(self._assignment.watched(records))
         for gone in self._watches.keys() - watched:
             self._watches.pop(gone).cancel()
         for new in sorted(watched - self._watches.keys()):
@@ -225,13 +261,31 @@
             await trio.sleep(self._rng.uniform(0, interval_s))
             silent_since: float | None = None
             while (held := self._table.records.get(name)) is not None:
+                interval_s = self._timing.probe_interval_ms / 1000
                 answered = await self._ask(held)
+                if answered and held.role == "agent":
+                    interval_s = self._timing.agent_probe_interval_ms / 1000
                 if answered:
                     silent_since = None
                 elif answered is False and not self._is_isolated():
                     silent_since = silent_since or trio.current_time()
                     self._judge_silence(held, silent_since)
-                await trio.sleep(self._rng.uniform(0.9, 1.1) * interval_s)
+                await self._pause(name, self._rng.uniform(0.9, 1.1) * interval_s)
+
+    async def _pause(self, name: str, pause_s: float) -> None:
+        """Wait for the next probe, which comes early if a connection is lost."""
+        lost = self._links_lost[name] = trio.Event()
+        try:
+            with trio.move_on_after(pause_s):
+                await lost.wait()
+                await trio.sleep(AFTER_LOSS_S)
+        finally:
+            self._links_lost.pop(name, None)
+
+    def _note_lost(self, connection: Connection) -> None:
+        lost = self._links_lost.get(connection.identity.name)
+        if lost is not None:
+            lost.set()
 
     async def _ask(self, held: MemberRecord) -> bool | None:
         """Tell whether a process answered, None if this one was held up."""
@@ -292,3 +346,14 @@
         incarnation=0,
         state=MemberState(host.state),
     )
+
+
+def _take_back(held: MemberRecord) -> list[MemberRecord]:
+    """Return the news that a host is listed as live again.
+
+    A process that stops by itself contradicts it.
+    """
+    if held.state is not MemberState.LEAVING:
+        return []
+    incarnation = held.incarnation + 1
+    return [held._replace(incarnation=incarnation, state=MemberState.LIVE)]
--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -15,8 +15,8 @@
     map_role,
 )
 from ..coordination.expert_maps import GroupHost
+from ..coordination.group_agents import register_group_agents
 from ..coordination.group_set import GroupSet
-from ..coordination.membership import MemberState
 from ..operations import (
     DeploymentStatus,
     OperationsService,
@@ -32,6 +32,7 @@
     Gateway,
     Relay,
     Router,
+    UpstreamPools,
     WorkspaceLimits,
     named_addresses,
 )
@@ -40,7 +41,7 @@
 from ..telemetry import GroupMetrics, RequestMetrics, get_logger
 from ..transport import Address, asgi_application, serve_http
 from .monitoring import Monitoring
-from .settings import EntrySettings, peers_network, tls_files
+from .settings import EntrySettings, peers_network, platform_access, tls_files
 from .startup import watch_signals
 
 __all__ = ["EntryHost"]
@@ -62,6 +63,7 @@
 
     def __init__(self, settings: EntrySettings):
         self._settings = settings
+        self._address_keep_ms = settings.get("address_keep_ms", ADDRESS_KEEP_MS)
         self._stop_requested = trio.Event()
         self._close_callers = trio.Event()
         self._callers_served = trio.Event()
@@ -80,16 +82,22 @@
             address=Address.parse(settings["peers_listen"]),
             data_centre=settings["data_centre"],
         )
-        self.store = HttpObjectStore(settings["platform_url"])
+        access = platform_access(settings)
+        self.store = HttpObjectStore(settings["platform_url"], access)
         self.writer = Writer(self.store, identity.start_id)
-        self.hosts = HostList(settings["platform_url"])
+        self.hosts = HostList(settings["platform_url"], access)
         self.view = ConfigurationView()
         self.peers = Peers(peers_network(settings), identity, settings["peer_secret"])
         presence = Presence(self.peers, settings["callers_listen"])
         self.membership = Membership(
-            self.peers, presence, self.hosts.hosts_now, seed=identity.start_id
+            self.peers,
+            presence,
+            self.hosts.hosts_now,
+            seed=identity.start_id,
+            n_list_reads=lambda: self.hosts.n_reads,
         )
         self.membership.on_change.append(self._note_member_change)
+        register_group_agents(self.peers, self.hosts.hosts_now)
         self.roles = ControlRoles(
             self.store,
             self.writer,
@@ -113,26 +121,30 @@
 
     def _make_requests(self) -> None:
         agents = AgentTable(self.peers)
+        pools = UpstreamPools(self.view)
         router = Router(
             agents,
             leaving=self._agents_to_avoid,
+            pools=pools,
             data_centre=self._settings["data_centre"],
             far_cost_requests=self._settings.get("far_cost_requests", 0.0),
         )
         self.connections = AgentConnections(
-            self.peers, agents, lambda: self.hosts.hosts.values()
+            self.peers, agents, lambda: self.hosts.hosts.values(), pools
         )
         self.limits = WorkspaceLimits(
             self.peers,
             self.view,
             lambda: [member.identity for member in self.membership.live("entry")],
         )
+        self.attempts = AttemptLoop(self.peers, Relay(self.peers), router)
         self.gateway = Gateway(
             self.view,
             Admission(limits=self.limits),
-            AttemptLoop(self.peers, Relay(self.peers), router),
+            self.attempts,
             self._addresses_to_name,
             self.metrics,
+            self._address_keep_ms,
         )
 
     def _make_operations(self) -> None:
@@ -170,6 +182,7 @@
         await self.configuration.start(nursery)
         await self.roles.start(nursery)
         await self.limits.start(nursery)
+        await self.attempts.start(nursery)
         nursery.start_soon(self.connections.run)
         nursery.start_soon(self._disconnect_gone_agents)
         if "metrics_listen" in self._settings:
@@ -209,8 +222,9 @@
         with trio.move_on_after(RELEASE_TIMEOUT_S):
             await self.roles.close()
         # Callers may go on using an address for as long as they were told.
-        await trio.sleep(ADDRESS_KEEP_MS / 1000)
+        await trio.sleep(self._address_keep_ms / 1000)
         self._close_callers.set()
+        log.info("stop.not_accepting", n_requests=self.gateway.n_open)
         await self._callers_served.wait()
         await self.peers.close()
 
@@ -234,11 +248,7 @@
         while True:
             await self._member_changed.wait()
             self._member_changed = trio.Event()
-            now_gone = {
-                member.identity.name
-                for member in self.membership.members("agent")
-                if member.state is MemberState.GONE
-            }
+            now_gone = self.membership.gone("agent")
             for name in now_gone - gone:
                 await self.peers.disconnect(name)
             gone = now_gone
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -11,8 +11,15 @@
 from .execution import Executor
 from .gateway import Gateway
 from .limits import WorkspaceLimits
+from .pools import UpstreamPools
 from .relay import Relay
-from .routing import AgentConnections, AgentTable, AgentView, Router
+from .routing import (
+    AgentConnections,
+    AgentTable,
+    AgentView,
+    PrefillTurns,
+    Router,
+)
 from .upstream import UpstreamSettings
 
 __all__ = [
@@ -23,8 +30,10 @@
     "AttemptLoop",
     "Executor",
     "Gateway",
+    "PrefillTurns",
     "Relay",
     "Router",
+    "UpstreamPools",
     "UpstreamSettings",
     "WorkspaceLimits",
     "named_addresses",
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -11,23 +11,26 @@
 from ..protocol import Connection, Peers, RequestId
 from ..protocol.reports import UpstreamKind
 from ..protocol.requests import End, Head, Outcome, Refusal, Submit
+from ..protocol.suspects import Verdict
 from ..telemetry import get_logger
 from ..transport import Responder
 from .answers import Answer, AnswerChanged
 from .caller import CallerRequest
+from .ends import CRASH_REASON
 from .key_issuer import KeyIssuer
 from .payments import rank_owners, read_issued_key
+from .progress import RequestProgress
 from .relay import Relay
 from .retries import (
     AttemptBudget,
     Failure,
     GiveUp,
-    Progress,
     combine_outcomes,
     next_step,
 )
 from .routing import AgentView, Router
 from .streams import AttemptStream, Broken, Chunk
+from .suspects import SuspectSpread, SuspectTable
 
 __all__ = ["AttemptLoop"]
 
@@ -37,8 +40,11 @@
 DEADLINE_GRACE_MS = 250.0
 QUIET_LIMIT_MS = 2_000.0
 END_GRACE_MS = 250.0
+SPARE_TIMEOUT_MS = 10_000.0
+SPARE_POLL_MS = 100.0
 
 REFUSALS = {
+    Refusal.CRASHES_UPSTREAMS: (422, True),
     Refusal.DEADLINE: (504, False),
     Refusal.KEY_CONFLICT: (422, True),
     Refusal.KEY_FULL: (503, True),
@@ -59,26 +65,6 @@
 log = get_logger("attempts")
 
 
-class _Progress:
-    """A request on its way, over all of its attempts."""
-
-    def __init__(self, request: CallerRequest, answer: Answer):
-        self.request = request
-        self.answer = answer
-        self.expires_at = trio.current_time() + request.deadline_ms / 1000
-        self.n_attempts = 0
-        self.outcome = Outcome.NOT_RUN
-        self.excluded: set[str] = set()
-
-    @property
-    def left_ms(self) -> float:
-        return max(0.0, (self.expires_at - trio.current_time()) * 1000)
-
-    def seen(self) -> Progress:
-        may_repeat = self.request.repeatable or self.request.is_keyed
-        return Progress(may_repeat, self.n_attempts, self.left_ms)
-
-
 class AttemptLoop:
     """Attempts of requests, from the choice of an agent to the answer's end.
 
@@ -88,6 +74,8 @@
         Attempts made since the start.
     keys : KeyIssuer
         Obtains idempotency keys for callers.
+    suspects : SuspectTable
+        Verdicts on requests that were on an upstream when it crashed.
 
     Parameters
     ----------
@@ -95,6 +83,8 @@
         The entry host's links, the attempts in progress and the choice of agents.
     new_budget : callable, optional
         Returns the retry budget of one model group or plain service.
+    suspects : SuspectTable, optional
+        Replaces the attribute.
     """
 
     def __init__(
@@ -103,19 +93,26 @@
         relay: Relay,
         router: Router,
         new_budget: Callable[[], AttemptBudget] = AttemptBudget,
+        suspects: SuspectTable | None = None,
     ):
         self.n_attempts = 0
         self.keys = KeyIssuer(peers, router)
+        self.suspects = suspects or SuspectTable()
+        self._spread = SuspectSpread(peers, self.suspects)
         self._peers = peers
         self._relay = relay
         self._router = router
         self._budgets: defaultdict[str, AttemptBudget] = defaultdict(new_budget)
 
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to pass on which requests crash upstreams."""
+        nursery.start_soon(self._spread.run)
+
     async def run(self, request: CallerRequest, responder: Responder) -> None:
         """Answer a request, whatever becomes of its attempts."""
         budget = self._budgets[request.upstream]
         budget.note_request()
-        progress = _Progress(request, Answer(responder))
+        progress = RequestProgress(request, Answer(responder))
         last = Failure(
             Outcome.NOT_RUN,
             f"no upstream of {request.upstream} is live",
@@ -123,7 +120,16 @@
             RETRY_AFTER_MS,
         )
         while True:
-            agent = self._choose(progress)
+            verdict = self._verdict(progress)
+            if verdict is Verdict.CONVICTED:
+                last = self._refuse(progress)
+                break
+            if verdict is Verdict.SUSPECT:
+                await self._wait_for_spare(progress)
+                verdict = self._verdict(progress)
+                if verdict is Verdict.CONVICTED:
+                    continue
+            agent = self._choose(progress, verdict is Verdict.SUSPECT)
             if agent is None:
                 if request.is_keyed and read_issued_key(request.idempotency_key):
                     progress.outcome = Outcome.UNKNOWN
@@ -149,10 +155,38 @@
                 progress.excluded.add(agent.identity.name)
         await self._give_up(progress, last)
 
-    def _choose(self, progress: _Progress) -> AgentView | None:
+    def _verdict(self, progress: RequestProgress) -> Verdict | None:
+        if self.suspects.is_empty:
+            return None
+        return self.suspects.verdict(progress.digest)
+
+    async def _wait_for_spare(self, progress: RequestProgress) -> None:
+        """Wait a while until a crash would leave enough agents for the others."""
+        ends_at = min(
+            progress.expires_at, trio.current_time() + SPARE_TIMEOUT_MS / 1000
+        )
+        while trio.current_time() < ends_at:
+            if self._router.has_spare(progress.request.upstream):
+                return
+            await trio.sleep(SPARE_POLL_MS / 1000)
+
+    def _refuse(self, progress: RequestProgress) -> Failure:
+        """Return the answer to a request that crashes upstreams."""
+        log.info("request.refused", digest=f"{progress.digest:016x}")
+        # An earlier one that may not be repeated may have run before the crash.
+        outcome = Outcome.NOT_RUN if progress.request.repeatable else Outcome.UNKNOWN
+        progress.outcome = combine_outcomes(progress.outcome, outcome)
+        left_ms = self.suspects.left_ms(progress.digest)
+        return Failure(outcome, CRASH_REASON, 422, left_ms, is_final=True)
+
+    def _choose(self, progress: RequestProgress, is_suspect: bool) -> AgentView | None:
         """Return the agent for the next attempt, or None."""
         request = progress.request
         if not request.is_keyed:
+            if is_suspect:
+                return self._router.choose_for_suspect(
+                    request.upstream, progress.digest, progress.excluded
+                )
             return self._router.choose(request, frozenset(progress.excluded))
         live = {
             view.identity.name: view
@@ -166,7 +200,7 @@
         )
         return live[owners[0]] if owners else None
 
-    async def _give_up(self, progress: _Progress, last: Failure) -> None:
+    async def _give_up(self, progress: RequestProgress, last: Failure) -> None:
         """Answer with the outcome of all attempts, and when to come back."""
         outcome = progress.outcome
         may_come_back = progress.request.repeatable or outcome is Outcome.NOT_RUN
@@ -177,7 +211,9 @@
             last._replace(outcome=outcome, retry_after_ms=retry_after_ms)
         )
 
-    async def _attempt(self, agent: AgentView, progress: _Progress) -> Failure | None:
+    async def _attempt(
+        self, agent: AgentView, progress: RequestProgress
+    ) -> Failure | None:
         """Make one attempt; returns how it failed, or None."""
         progress.n_attempts += 1
         self.n_attempts += 1
@@ -195,7 +231,7 @@
         finally:
             self._router.end(agent, request_id)
 
-    async def _connect(self, agent: AgentView, progress: _Progress) -> Connection:
+    async def _connect(self, agent: AgentView, progress: RequestProgress) -> Connection:
         name = agent.identity.name
         with trio.move_on_at(progress.expires_at):
             connection = await self._peers.connection(agent.address)
@@ -204,7 +240,7 @@
             return connection
         raise PeerUnreachable(f"no connection to {name} before the deadline")
 
-    def _submit(self, progress: _Progress, request_id: RequestId) -> Submit:
+    def _submit(self, progress: RequestProgress, request_id: RequestId) -> Submit:
         request = progress.request
         return Submit(
             request_id=request_id,
@@ -220,10 +256,13 @@
             n_pieces_received=progress.answer.n_pieces,
             share=request.share,
             n_tokens=request.n_tokens,
+            n_prompt_tokens=request.n_prompt_tokens,
+            is_suspect=self._verdict(progress) is Verdict.SUSPECT,
+            pool=request.upstream,
         )
 
     async def _follow(
-        self, connection: Connection, stream: AttemptStream, progress: _Progress
+        self, connection: Connection, stream: AttemptStream, progress: RequestProgress
     ) -> Failure | None:
         """Relay an attempt's answer and learn the outcome of one that failed."""
         try:
@@ -239,7 +278,7 @@
             self._relay.forget(stream)
 
     async def _relay_answer(
-        self, stream: AttemptStream, progress: _Progress
+        self, stream: AttemptStream, progress: RequestProgress
     ) -> Failure | None:
         ends_at = progress.expires_at + DEADLINE_GRACE_MS / 1000
         while True:
@@ -264,7 +303,7 @@
         self,
         connection: Connection,
         stream: AttemptStream,
-        progress: _Progress,
+        progress: RequestProgress,
         failure: Failure,
     ) -> Failure:
         """Stop an attempt whose end did not come and learn its outcome."""
@@ -290,7 +329,7 @@
             await answer.chunk(event)
 
 
-async def _end(event: End | Broken, progress: _Progress) -> Failure | None:
+async def _end(event: End | Broken, progress: RequestProgress) -> Failure | None:
     """Finish the answer, or return how the attempt failed."""
     answer = progress.answer
     match event:
@@ -311,6 +350,9 @@
         case End(outcome=outcome, error=error, refusal=refusal):
             by_default = 503 if outcome is Outcome.NOT_RUN else 502
             status, is_final = REFUSALS.get(refusal, (by_default, False))
+            if refusal is Refusal.CRASHES_UPSTREAMS and not progress.request.repeatable:
+                # An earlier one may have run before the crash.
+                outcome = Outcome.UNKNOWN
             return Failure(outcome, error, status, event.retry_after_ms, is_final)
     await answer.finish()
     return None
--- a/poplarward/requests/routing/connections.py
+++ b/poplarward/requests/routing/connections.py
@@ -10,8 +10,10 @@
 from ...errors import PeerUnreachable
 from ...protocol import Connection, Peers
 from ...protocol.reports import ReportInterval
+from ...slices import in_slices
 from ...telemetry import get_logger
-from .subset import PoolMember, agents_to_connect
+from ..pools import UpstreamPools
+from .subset import AgentSubset, PoolMember
 from .table import AgentTable
 
 __all__ = ["AgentConnections", "report_interval_ms"]
@@ -46,6 +48,8 @@
         Tells the agents that still run requests of this entry host.
     hosts : callable
         Returns the platform's list of hosts.
+    pools : UpstreamPools, optional
+        Tells the upstreams that are one pool; without it each is one.
     """
 
     def __init__(
@@ -53,18 +57,23 @@
         peers: Peers,
         table: AgentTable,
         hosts: Callable[[], Iterable[HostEntry]],
+        pools: UpstreamPools | None = None,
     ):
         self._peers = peers
         self._table = table
         self._hosts = hosts
+        self._pools = pools
+        identity = peers.identity
+        self._subset = AgentSubset(PoolMember(identity.name, identity.data_centre))
         self._listed: list[HostEntry] = []
+        self._pool_of: dict[str, str] = {}
         self._wanted: list[HostEntry] = []
         self._asked: dict[Connection, int] = {}
 
     async def run(self) -> None:
         """Keep the connections until cancelled."""
         while True:
-            self._refresh()
+            await self._refresh()
             interval_ms = report_interval_ms(len(self._wanted))
             async with trio.open_nursery() as nursery:
                 for host in self._wanted:
@@ -74,25 +83,25 @@
             await self._close_unwanted()
             await trio.sleep(CHECK_INTERVAL_S)
 
-    def _refresh(self) -> None:
-        """Work out the subset again if the list of hosts has changed."""
-        listed = sorted(self._hosts())
-        if listed == self._listed:
+    async def _refresh(self) -> None:
+        """Work out the subset again if the hosts or the pools have changed."""
+        listed = list(self._hosts())
+        pool_of = self._pools.by_group() if self._pools else self._pool_of
+        if listed == self._listed and pool_of is self._pool_of:
             return
-        self._listed = listed
         identity = self._peers.identity
         own = PoolMember(identity.name, identity.data_centre)
         entries = {own} | {_member(h) for h in listed if _is_serving(h, "entry")}
         agents = [host for host in listed if _is_serving(host, "agent")]
         pools: dict[str, list[PoolMember]] = {}
         for host in agents:
-            pools.setdefault(host.upstream, []).append(_member(host))
-        names = {
-            name
-            for pool in pools.values()
-            for name in agents_to_connect(own, sorted(entries), pool)
-        }
-        self._wanted = [host for host in agents if host.name in names]
+            pools.setdefault(pool_of.get(host.upstream, host.upstream), []).append(
+                _member(host)
+            )
+        await trio.lowlevel.checkpoint()
+        names = await in_slices(self._subset.choose(entries, pools.values()))
+        self._wanted = sorted(host for host in agents if host.name in names)
+        self._listed, self._pool_of = listed, pool_of
 
     async def _connect(self, host: HostEntry, interval_ms: int) -> None:
         try:
--- a/poplarward/requests/routing/router.py
+++ b/poplarward/requests/routing/router.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import trio
 
+from ...hashing import rendezvous_ranking
 from ...protocol import RequestId
 from ...protocol.reports import UpstreamState
 from ..caller import CallerRequest
+from ..pools import UpstreamPools
 from .affinity import prefix_homes
 from .choice import Candidate, choose_candidate
 from .load import arriving_requests
 from .table import AgentTable, AgentView
+from .turns import PrefillTurns
 
 __all__ = ["Router"]
 
+AGENTS_PER_SUSPECT_AGENT = 8
+MIN_LIVE_SHARE = 0.5
+
 
 def _none() -> Collection[str]:
     return ()
@@ -33,10 +39,14 @@
         Seed of the random draws.
     leaving : callable
         Returns the names of agents that get no new work whatever they report.
+    pools : UpstreamPools, optional
+        Tells the upstreams that are one pool; without it each is one.
     data_centre : str
         Data centre of the entry host.
     far_cost_requests : float
         By how many requests an agent of another data centre counts as busier.
+    turns : PrefillTurns, optional
+        Which rank groups have their turn for prefills.
     """
 
     def __init__(
@@ -44,21 +54,27 @@
         agents: AgentTable,
         seed: int = 0,
         leaving: Callable[[], Collection[str]] = _none,
+        pools: UpstreamPools | None = None,
         data_centre: str = "",
         far_cost_requests: float = 0.0,
+        turns: PrefillTurns | None = None,
     ):
         self._agents = agents
         self._rng = random.Random(seed)
         self._leaving = leaving
+        self._pools = pools
         self._data_centre = data_centre
         self._far_cost_requests = far_cost_requests
+        self._turns = turns or PrefillTurns()
 
     def choose(
         self, request: CallerRequest, excluded: frozenset[str] = frozenset()
     ) -> AgentView | None:
         """Return an agent that is not excluded by name, or None."""
         live = self.live_agents(request.upstream, excluded)
-        views = {view.identity.name: view for view in live}
+        # Whoever is beside a suspect shares its crash, and can't be told from it.
+        calm = [view for view in live if not view.report.n_suspects]
+        views = {view.identity.name: view for view in calm or live}
         if not views:
             return None
         n_slots = sum(view.report.n_slots for view in views.values()) / len(views)
@@ -67,18 +83,38 @@
         ]
         arriving = arriving_requests([view.load for view in views.values()])
         homes = prefix_homes(request.prefix_digest, views)
-        chosen = choose_candidate(candidates, homes, arriving, self._rng)
+        preferred = self._preferred(request, views)
+        chosen = choose_candidate(candidates, homes, arriving, self._rng, preferred)
         return None if chosen is None else views[chosen.name]
 
-    def live_agents(
-        self, upstream: str, excluded: Collection[str] = ()
-    ) -> list[AgentView]:
-        """Return the agents that take new work and are not excluded by name."""
+    def choose_for_suspect(
+        self, pool: str, digest: int, excluded: Collection[str]
+    ) -> AgentView | None:
+        """Return the agent at which all entry hosts let a suspect run, or None.
+
+        A few agents of each pool run all of its suspects.
+        """
+        live = {view.identity.name: view for view in self.live_agents(pool, excluded)}
+        if not live:
+            return None
+        n_agents = max(1, len(live) // AGENTS_PER_SUSPECT_AGENT)
+        chosen = rendezvous_ranking(pool, live)[:n_agents]
+        return live[rendezvous_ranking(f"{digest:x}", chosen)[0]]
+
+    def has_spare(self, pool: str) -> bool:
+        """Whether a pool can bear the loss of another agent."""
+        n_live = len(self.live_agents(pool))
+        n_known = sum(self._pool_of(view) == pool for view in self._agents.views())
+        return n_live >= MIN_LIVE_SHARE * n_known
+
+    def live_agents(self, pool: str, excluded: Collection[str] = ()) -> list[AgentView]:
+        """Return a pool's agents that take new work and are not excluded by name."""
         barred = {*excluded, *self._leaving()}
         return [
             view
-            for view in self._agents.views(upstream)
+            for view in self._agents.views()
             if view.report.state is UpstreamState.LIVE
+            and self._pool_of(view) == pool
             and view.identity.name not in barred
         ]
 
@@ -90,6 +126,20 @@
         """Count an attempt at an agent out."""
         agent.load.end(request_id.sequence)
 
+    def _pool_of(self, view: AgentView) -> str:
+        upstream = view.report.upstream
+        return self._pools.of_upstream(upstream) if self._pools else upstream
+
+    def _preferred(
+        self, request: CallerRequest, views: Mapping[str, AgentView]
+    ) -> set[str]:
+        """Return the agents to prefer by their rank groups' turns."""
+        if self._pools is None:
+            return set()
+        group_of = {name: view.report.upstream for name, view in views.items()}
+        groups = self._pools.groups(request.upstream)
+        return self._turns.preferred(group_of, groups, request.priority_class)
+
     def _load(self, view: AgentView, mean_slots: float) -> float:
         """Return the requests in hand, as if all agents had the mean of slots."""
         load = view.load.occupancy * mean_slots / max(1, view.report.n_slots)
--- a/poplarward/requests/upstream.py
+++ b/poplarward/requests/upstream.py
@@ -10,7 +10,8 @@
 from ..errors import UpstreamUnreachable
 from ..protocol.reports import UpstreamKind
 from ..protocol.requests import PriorityClass, Submit
-from ..transport import HttpClient
+from ..transport import HttpAccess, HttpClient
+from .kv_admission import HEADROOM_SHARE
 
 __all__ = [
     "DONE_EVENT",
@@ -39,12 +40,21 @@
         Where the upstream listens, by IP number.
     n_slots : int
         Requests that it runs at once.
+    access : HttpAccess
+        What it asks of its clients.
+    kv_limit_tokens : int
+        Tokens that an engine's memory holds; 0 for no limit.
+    kv_headroom_share : float
+        Part of them that is kept free when a stream is admitted.
     """
 
     kind: UpstreamKind
     name: str
     url: str
     n_slots: int
+    access: HttpAccess = HttpAccess()
+    kv_limit_tokens: int = 0
+    kv_headroom_share: float = HEADROOM_SHARE
 
 
 class UpstreamClient(Protocol):
@@ -118,7 +128,7 @@
     def __init__(self, settings: UpstreamSettings, client: UpstreamClient | None):
         self.settings = settings
         self._client = client or HttpClient(
-            settings.url, n_connections=settings.n_slots * 2
+            settings.url, settings.n_slots * 2, settings.access
         )
 
     async def close(self) -> None:
