Split connections from the links of a process

Cause: protocol/peers.py had grown to 401 lines with two jobs: what one connection does with its frames, and which links a process keeps.

The frames on the wire are the same.

--- a/poplarward/coordination/configuration/rollout.py
+++ b/poplarward/coordination/configuration/rollout.py
@@ -7,10 +7,9 @@
 
 import trio
 
-from ...errors import PeerTimeout, PeerUnreachable
+from ...errors import CallRefused, PeerTimeout, PeerUnreachable
 from ...protocol import Peers, ProcessIdentity
 from ...protocol.configuration import RolloutRequest
-from ...protocol.peers import CallRefused
 from .members import MembersView
 from .publisher import Publisher
 from .sources import readers_of
--- a/poplarward/coordination/configuration/sync.py
+++ b/poplarward/coordination/configuration/sync.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ...errors import PeerTimeout, PeerUnreachable
+from ...errors import CallRefused, PeerTimeout, PeerUnreachable
 from ...protocol import Connection, Peers, ProcessIdentity
 from ...protocol.configuration import (
     ConfigurationDelta,
@@ -17,7 +17,6 @@
     SnapshotChunk,
 )
 from ...protocol.heartbeats import MemberState
-from ...protocol.peers import CallRefused
 from ...state import ConfigurationView, ObjectStore
 from ...telemetry import get_logger
 from .exchange import SnapshotReader, apply_delta
--- a/poplarward/coordination/expert_maps/coordinator.py
+++ b/poplarward/coordination/expert_maps/coordinator.py
@@ -13,7 +13,13 @@
 
 import trio
 
-from ...errors import PeerTimeout, PeerUnreachable, StoreUnavailable, WriteUnknown
+from ...errors import (
+    CallRefused,
+    PeerTimeout,
+    PeerUnreachable,
+    StoreUnavailable,
+    WriteUnknown,
+)
 from ...protocol import Peers
 from ...protocol.expert_maps import (
     GetHostState,
@@ -29,7 +35,6 @@
     Vote,
     VoteReply,
 )
-from ...protocol.peers import CallRefused
 from ...telemetry import get_logger
 from ..rebalancing import Move, apply_moves
 from .record import MapRecord, RecordedMap
--- a/poplarward/coordination/expert_maps/votes.py
+++ b/poplarward/coordination/expert_maps/votes.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from ...errors import PeerTimeout, PeerUnreachable
+from ...errors import CallRefused, PeerTimeout, PeerUnreachable
 from ...protocol import Peers
 from ...protocol.expert_maps import (
     AskVote,
@@ -22,7 +22,6 @@
     Vote,
     VoteReply,
 )
-from ...protocol.peers import CallRefused
 from ...transport import Address
 
 __all__ = ["announce", "ask_votes", "decide"]
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "BodyTooLarge",
+    "CallRefused",
     "CallerGone",
     "ChannelClosed",
     "ConflictError",
@@ -42,6 +43,10 @@
     """A request's body is longer than the limit."""
 
 
+class CallRefused(PoplarwardError):
+    """The peer's handler refused a call; the text is its reason."""
+
+
 class CallerGone(PoplarwardError):
     """The caller closed its connection before its request was complete."""
 
--- a/poplarward/protocol/__init__.py
+++ b/poplarward/protocol/__init__.py
@@ -6,8 +6,9 @@
 """
 
 from .codec import decode, encode, message
+from .connections import Connection
 from .identity import ProcessIdentity, RequestId
-from .peers import Connection, Peers
+from .peers import Peers
 
 __all__ = [
     "Connection",
--- a/poplarward/requests/key_issuer.py
+++ b/poplarward/requests/key_issuer.py
@@ -4,10 +4,9 @@
 
 import random
 
-from ..errors import PeerTimeout, PeerUnreachable, Refused
+from ..errors import CallRefused, PeerTimeout, PeerUnreachable, Refused
 from ..protocol import Peers
 from ..protocol.payments import IssueKey
-from ..protocol.peers import CallRefused
 from .routing import AgentView, Router
 
 __all__ = ["KeyIssuer"]
--- a/poplarward/requests/limits/limiter.py
+++ b/poplarward/requests/limits/limiter.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from ...errors import PeerTimeout, PeerUnreachable, Refused
+from ...errors import CallRefused, PeerTimeout, PeerUnreachable, Refused
 from ...hashing import rendezvous_ranking
 from ...protocol import Peers, ProcessIdentity
 from ...protocol.limits import (
@@ -23,7 +23,6 @@
     SplitLevel,
     brief_part,
 )
-from ...protocol.peers import CallRefused
 from ...state import ConfigurationView
 from ..caller import CallerRequest
 from .shares import Bucket, HeldShare
--- a/poplarward/requests/relay.py
+++ b/poplarward/requests/relay.py
@@ -6,10 +6,9 @@
 
 import trio
 
-from ..errors import PeerTimeout, PeerUnreachable
+from ..errors import CallRefused, PeerTimeout, PeerUnreachable
 from ..protocol import Connection, Peers, RequestId
 from ..protocol.attempts import AttemptQuery
-from ..protocol.peers import CallRefused
 from ..protocol.requests import Bar, Cancel, End, Head, Outcome, Pieces, Submit
 from ..telemetry import get_logger
 from .streams import AttemptStream
--- a/poplarward/requests/suspects/spread.py
+++ b/poplarward/requests/suspects/spread.py
@@ -4,9 +4,8 @@
 
 import trio
 
-from ...errors import PeerTimeout, PeerUnreachable
+from ...errors import CallRefused, PeerTimeout, PeerUnreachable
 from ...protocol import Connection, Peers
-from ...protocol.peers import CallRefused
 from ...protocol.suspects import Suspicions, SuspicionsTaken
 from ...telemetry import get_logger
 from .table import SuspectTable
--- a/tests/programs/test_agent_host.py
+++ b/tests/programs/test_agent_host.py
@@ -9,10 +9,10 @@
 
 from benchmarks.deployment import PEER_SECRET, Deployment, model_group, workspace
 from benchmarks.relay import wait_until_served
+from poplarward.errors import CallRefused
 from poplarward.protocol import Peers, ProcessIdentity, RequestId
 from poplarward.protocol.configuration import ConfigurationPull
 from poplarward.protocol.generated.poplarward.v1 import operations_pb2 as pb
-from poplarward.protocol.peers import CallRefused
 from poplarward.protocol.reports import AgentReport
 from poplarward.protocol.requests import (
     End,
--- a/tests/protocol/test_peers.py
+++ b/tests/protocol/test_peers.py
@@ -8,7 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from poplarward.errors import ChannelClosed, DecodeError, PeerTimeout, PeerUnreachable
+from poplarward.errors import (
+    CallRefused,
+    ChannelClosed,
+    DecodeError,
+    PeerTimeout,
+    PeerUnreachable,
+)
 from poplarward.protocol import (
     Peers,
     ProcessIdentity,
@@ -19,7 +25,6 @@
     reports,
     requests,
 )
-from poplarward.protocol.peers import CallRefused
 from poplarward.transport import Address, LinkFaults, MemoryNetwork, WebSocketNetwork
 
 
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -12,11 +12,10 @@
 from poplarward.coordination.configuration.reader import StoreReader
 from poplarward.coordination.expert_maps import MapRecord
 from poplarward.coordination.expert_maps.record import RecordedMap
-from poplarward.errors import FormatUnsupported, StoreUnavailable
+from poplarward.errors import CallRefused, FormatUnsupported, StoreUnavailable
 from poplarward.operations.changes import ResourceChanges
 from poplarward.protocol import Peers, ProcessIdentity, codec, message
 from poplarward.protocol.expert_maps import MapId
-from poplarward.protocol.peers import CallRefused
 from poplarward.requests.payments import Record, Recorded, RecordState, Run, journal
 from poplarward.requests.payments.partition import Partition
 from poplarward.standins.object_store import MemoryObjectStore
