--- a/tests/requests/test_attempts.py
+++ b/tests/requests/test_attempts.py
@@ -13,7 +13,7 @@
     draft,
     payment,
 )
-from poplarward.requests.attempts import BAR_TIMEOUT_MS
+from poplarward.requests.following import BAR_TIMEOUT_MS
 from poplarward.requests.packing import PiecePacker
 from poplarward.standins.engine import EngineStandin, EngineTiming, completion_words
 from poplarward.standins.ledger import LedgerStandin
