Do not take an answer that had arrived before a crash for a sign of life

Traced with the watch's judgements printed.

Change: a request that ends counts as a survivor from 10 ms after the first break.

Figures: test_watch.py's second test failed before, passes after.

--- a/poplarward/requests/suspects/watch.py
+++ b/poplarward/requests/suspects/watch.py
@@ -14,6 +14,7 @@
 __all__ = ["CrashWatch"]
 
 SETTLE_MS = 200.0
+ARRIVED_MS = 10.0
 
 log = get_logger("suspects")
 
@@ -22,6 +23,7 @@
     """Requests that ran when one of them broke off, and those that broke off since."""
 
     def __init__(self, at_risk: set[int]):
+        self.began_at = trio.current_time()
         self.at_risk = at_risk
         self.broken: dict[int, int] = {}
         self.settled = trio.Event()
@@ -65,8 +67,12 @@
 
     def ended(self, number: int) -> None:
         """Note that a running request ended in order."""
-        if self._break is not None and number in self._break.at_risk:
-            self._break.has_survivor = True
+        current = self._break
+        if current is None or number not in current.at_risk:
+            return
+        if trio.current_time() >= current.began_at + ARRIVED_MS / 1000:
+            # Its last piece had not arrived before the break.
+            current.has_survivor = True
 
     async def broke_off(self, number: int, digest: int) -> bool:
         """Note that a running request broke off; returns whether by a crash.
--- /dev/null
+++ b/tests/requests/suspects/test_watch.py
@@ -0,0 +1,36 @@
+"""What tells a crash from a broken connection, in virtual time."""
+
+from __future__ import annotations
+
+import trio
+import trio.testing
+
+from poplarward.protocol.suspects import Verdict
+from poplarward.requests.suspects import CrashWatch, SuspectTable
+
+
+async def break_off_beside_one_that_ends(end_after_ms):
+    """Return whether a break beside a request that ends counts as a crash."""
+    table = SuspectTable()
+    watch = CrashWatch(table, lambda: False)
+
+    async def end():
+        with watch.running() as number:
+            await trio.sleep(end_after_ms / 1000)
+            watch.ended(number)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(end)
+        await trio.testing.wait_all_tasks_blocked()
+        with watch.running() as number:
+            is_crash = await watch.broke_off(number, 7)
+    assert table.verdict(7) is (Verdict.SUSPECT if is_crash else None)
+    return is_crash
+
+
+async def test_request_that_ends_later_shows_that_the_upstream_lives(autojump_clock):
+    assert not await break_off_beside_one_that_ends(end_after_ms=100)
+
+
+async def test_request_whose_last_piece_had_arrived_shows_nothing(autojump_clock):
+    assert await break_off_beside_one_that_ends(end_after_ms=1)
