--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -13,10 +13,11 @@
 from ..protocol.identity import new_start_id
 from ..protocol.reports import UpstreamKind, UpstreamState
 from ..requests import Executor, UpstreamSettings
+from ..requests.in_hand import AttemptInHand
 from ..requests.kv_admission import HEADROOM_SHARE
 from ..requests.payments import Payments
 from ..state import ConfigurationView, HttpObjectStore, drained_hosts
-from ..telemetry import get_logger
+from ..telemetry import AgentLoadNow, AgentMetrics, get_logger
 from ..transport import Address, HttpClient, asgi_application, serve_http
 from .monitoring import Monitoring
 from .settings import (
@@ -31,6 +32,7 @@
 __all__ = ["AgentHost"]
 
 N_ENGINE_CONNECTIONS = 8
+STOP_WAIT_MS = 20_000.0
 
 log = get_logger("agent")
 
@@ -76,7 +78,11 @@
         self.maps: MapKeeper | None = None
         if self.upstream.kind is UpstreamKind.ENGINE:
             self._make_maps(section.get("ranks", []))
-        self.monitoring = Monitoring(lambda: generate_latest(REGISTRY), self.missing)
+        self.metrics = AgentMetrics(self._load_now)
+        self.executor.on_ran.append(self._note_ran)
+        self.monitoring = Monitoring(
+            lambda: generate_latest(REGISTRY) + self.metrics.render(), self.missing
+        )
 
     def _make_executor(self, identity: ProcessIdentity) -> Executor:
         payments = None
@@ -102,6 +108,21 @@
         engine = HttpEngineControl(client)
         self.maps = MapKeeper(self.peers, group, engine, self.fences, ranks)
 
+    def _load_now(self) -> AgentLoadNow:
+        load = self.executor.read_load()
+        takes_work = load.state is UpstreamState.LIVE
+        return AgentLoadNow(load.n_running, load.n_waiting, load.n_slots, takes_work)
+
+    def _note_ran(self, attempt: AttemptInHand) -> None:
+        submit = attempt.submit
+        self.metrics.observe(
+            submit.workspace,
+            submit.priority_class,
+            wait_ms=1000 * (attempt.started_at - attempt.arrived_at),
+            run_ms=1000 * (trio.current_time() - attempt.started_at),
+            n_pieces=attempt.n_pieces - submit.n_pieces_received,
+        )
+
     async def run(self) -> None:
         """Serve until a signal asks to stop, then end once nothing is cut off."""
         async with trio.open_nursery() as nursery:
@@ -135,7 +156,7 @@
     async def _close(self) -> None:
         """Leave in order: no new attempts, then none at all."""
         self.presence.leave()
-        await self.executor.drain()
+        await self.executor.drain(self._settings.get("stop_wait_ms", STOP_WAIT_MS))
         await self.peers.close()
         await self.executor.close()
 
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -40,6 +40,8 @@
 DEADLINE_GRACE_MS = 250.0
 QUIET_LIMIT_MS = 2_000.0
 END_GRACE_MS = 250.0
+MOVE_WAIT_MS = 10_000.0
+MOVE_POLL_MS = 100.0
 SPARE_TIMEOUT_MS = 10_000.0
 SPARE_POLL_MS = 100.0
 
@@ -130,6 +132,8 @@
                 if verdict is Verdict.CONVICTED:
                     continue
             agent = self._choose(progress, verdict is Verdict.SUSPECT)
+            if agent is None and last.is_planned:
+                agent = await self._wait_for_agent(progress, verdict is Verdict.SUSPECT)
             if agent is None:
                 if request.is_keyed and read_issued_key(request.idempotency_key):
                     progress.outcome = Outcome.UNKNOWN
@@ -140,6 +144,7 @@
                 return
             last = failure
             progress.outcome = combine_outcomes(progress.outcome, failure.outcome)
+            progress.n_planned += failure.is_planned
             step = next_step(failure, progress.seen(), budget)
             log.info(
                 "attempt.failed",
@@ -152,9 +157,20 @@
                 last = failure._replace(reason=step.reason)
                 break
             if failure.outcome is not Outcome.RAN:
-                progress.excluded.add(agent.identity.name)
+                progress.excluded.add(agent.identity)
         await self._give_up(progress, last)
 
+    async def _wait_for_agent(
+        self, progress: RequestProgress, is_suspect: bool
+    ) -> AgentView | None:
+        """Wait for an agent to resume an answer that the caller has a part of."""
+        agent = None
+        with trio.move_on_after(min(MOVE_WAIT_MS, progress.left_ms) / 1000):
+            while agent is None and progress.answer.is_started:
+                await trio.sleep(MOVE_POLL_MS / 1000)
+                agent = self._choose(progress, is_suspect)
+        return agent
+
     def _verdict(self, progress: RequestProgress) -> Verdict | None:
         if self.suspects.is_empty:
             return None
@@ -182,15 +198,16 @@
     def _choose(self, progress: RequestProgress, is_suspect: bool) -> AgentView | None:
         """Return the agent for the next attempt, or None."""
         request = progress.request
+        excluded = progress.excluded.names(self._router, request.upstream)
         if not request.is_keyed:
             if is_suspect:
                 return self._router.choose_for_suspect(
-                    request.upstream, progress.digest, progress.excluded
+                    request.upstream, progress.digest, excluded
                 )
-            return self._router.choose(request, frozenset(progress.excluded))
+            return self._router.choose(request, excluded)
         live = {
             view.identity.name: view
-            for view in self._router.live_agents(request.upstream, progress.excluded)
+            for view in self._router.live_agents(request.upstream, excluded)
         }
         owners = rank_owners(
             request.upstream,
@@ -353,6 +370,9 @@
             if refusal is Refusal.CRASHES_UPSTREAMS and not progress.request.repeatable:
                 # An earlier one may have run before the crash.
                 outcome = Outcome.UNKNOWN
-            return Failure(outcome, error, status, event.retry_after_ms, is_final)
+            is_planned = refusal in (Refusal.LEAVING, Refusal.MOVED)
+            return Failure(
+                outcome, error, status, event.retry_after_ms, is_final, is_planned
+            )
     await answer.finish()
     return None
--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -45,6 +46,11 @@
 class Executor:
     """Admits, runs, bars and reports the attempts of one upstream.
 
+    Attributes
+    ----------
+    on_ran : list of callable
+        Called with each attempt that has had a slot, at its end.
+
     Parameters
     ----------
     peers : Peers
@@ -89,11 +95,12 @@
             lambda: self.state is UpstreamState.LEAVING,
             payments,
         )
+        self.on_ran: list[Callable[[AttemptInHand], None]] = []
         self._attempts: dict[RequestId, AttemptInHand] = {}
         self._outcomes = OutcomeRecord()
         self._packers: dict[Connection, PiecePacker] = {}
         self._nursery: trio.Nursery | None = None
-        self._reporter = LoadReporter(peers, self._read_load)
+        self._reporter = LoadReporter(peers, self.read_load)
         peers.register(Submit, self._on_submit)
         peers.register(Cancel, self._on_cancel)
         peers.register(Bar, self._on_bar)
@@ -131,13 +138,22 @@
         """Close the connections to the upstream."""
         await self._upstream.close()
 
-    async def drain(self) -> None:
-        """Take no new attempts and return when those in hand have ended."""
+    async def drain(self, wait_ms: float = math.inf) -> None:
+        """Take no new attempts and return when those in hand have ended.
+
+        Attempts that may be repeated and run longer than `wait_ms` are moved: their
+        entry hosts resume them at other agents.
+        """
         self._is_leaving = True
         self._hand_back()
         await self._reporter.report_now()
+        move_at = trio.current_time() + wait_ms / 1000
         while self._attempts:
+            if trio.current_time() >= move_at:
+                for attempt in list(self._attempts.values()):
+                    attempt.move()
             await trio.sleep(DRAIN_POLL_MS / 1000)
+        await self._flush_answers()
         if self._payments and not await self._payments.flush(FLUSH_TIMEOUT_MS):
             log.warning("drain.unflushed", upstream=self._settings.name)
 
@@ -153,6 +169,12 @@
             if not attempt.started and not attempt.is_keyed:
                 attempt.hand_back()
 
+    async def _flush_answers(self) -> None:
+        """Return when every answer is on its way, or its connection is too slow."""
+        with trio.move_on_after(FLUSH_TIMEOUT_MS / 1000):
+            while not all(packer.is_idle for packer in self._packers.values()):
+                await trio.sleep(DRAIN_POLL_MS / 1000)
+
     async def _on_submit(self, connection: Connection, submit: Submit) -> None:
         assert self._nursery is not None
         request_id = submit.request_id
@@ -233,6 +255,9 @@
             # The entry host must know before it makes the next attempt.
             await self._spread.tell(attempt.connection)
         attempt.packer.end(end)
+        if attempt.started:
+            for callback in self.on_ran:
+                callback(attempt)
 
     async def _note_refusal(self) -> None:
         was_live = self.state is UpstreamState.LIVE
@@ -240,7 +265,8 @@
         if was_live:
             await self._reporter.report_now()
 
-    def _read_load(self) -> AgentReport:
+    def read_load(self) -> AgentReport:
+        """Return a report of the load as it is now, with number 0."""
         n_running = sum(attempt.has_piece for attempt in self._attempts.values())
         return AgentReport(
             upstream_kind=self._settings.kind,
