--- a/tests/requests/suspects/test_crashing_requests.py
+++ b/tests/requests/suspects/test_crashing_requests.py
@@ -307,7 +307,7 @@
     nursery.cancel_scope.cancel()
 
 
-def test_agents_of_all_groups_of_a_pool_name_a_request_alike():
+async def test_agents_of_all_groups_of_a_pool_name_a_request_alike():
     request = draft(CULPRIT)
     submit = Submit(
         RequestId("entry-1", 1, 1),
