Let an attempt in hand be made outside of a running loop

Cause: the agent's metrics read the clock when the record of an attempt is made, which broke test_agents_of_all_groups_of_a_pool_name_a_request_alike. The executor notes the time of arrival now. That test failed before and passes now.

--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -197,6 +197,7 @@
             packer.end(refused_by_state(submit, self.state))
             return
         attempt = AttemptInHand(submit, connection, packer)
+        attempt.arrived_at = trio.current_time()
         self._attempts[request_id] = attempt
         self._nursery.start_soon(self._run, attempt)
 
--- a/poplarward/requests/in_hand.py
+++ b/poplarward/requests/in_hand.py
@@ -41,7 +41,7 @@
         self.packer = packer
         self.scope = trio.CancelScope()
         self.ended = trio.Event()
-        self.arrived_at = trio.current_time()
+        self.arrived_at = math.inf
         self.started_at = math.inf
         self.started = False
         self.barred = False
