--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -131,6 +131,7 @@
             if attempt.barred:
                 return None
             attempt.started = True
+            attempt.started_at = trio.current_time()
             if not attempt.submit.repeatable:
                 # Its outcome is worth more than the deadline.
                 attempt.scope.deadline = trio.current_time() + 1e9
@@ -140,7 +141,9 @@
         """Forward one attempt; returns its end."""
         with self._watch.running() as number:
             try:
-                return await self._pass_on(attempt, share)
+                end = await self._pass_on(attempt, share)
+                self._watch.ended(number)
+                return end
             except UpstreamUnreachable as error:
                 return await self._broke_off(attempt, number, error)
 
