Bound what an agent holds for an entry host that takes its answers slowly

Cause: pieces of answers were collected without bound while a connection was slow or its entry host frozen. The upstream was read at its own pace, and a flush of more than 4 MiB would have closed the connection, since a message may not be longer.

Change: an answer's next piece waits while a megabyte is held, so the upstream is read no further; a connection that takes nothing for 5 s is closed, and its entry host asks what became of its requests as after any cut. An attempt that crashed its upstream is in hand until its entry host was told, so that a drain does not end before.

Ruled out: dropping pieces (the answer would not be whole); waiting without a limit (a frozen entry host would keep slots of its upstream).

Figures: test_packing.py, ten megabytes to a connection that takes nothing: at most 2 MB held, all 1,000 pieces in order once it goes on. Both tests fail if the wait returns at once. No measurement of the cost of the check.

--- a/poplarward/requests/execution.py
+++ b/poplarward/requests/execution.py
@@ -249,12 +249,12 @@
             end = await self._runner.run(attempt)
         if end is None:
             end = cut_short(attempt)
-        self._outcomes.put(submit.request_id, end.outcome)
-        del self._attempts[submit.request_id]
-        attempt.ended.set()
         if attempt.has_crashed:
             # The entry host must know before it makes the next attempt.
             await self._spread.tell(attempt.connection)
+        self._outcomes.put(submit.request_id, end.outcome)
+        del self._attempts[submit.request_id]
+        attempt.ended.set()
         attempt.packer.end(end)
         if attempt.started:
             for callback in self.on_ran:
--- a/poplarward/requests/packing.py
+++ b/poplarward/requests/packing.py
@@ -10,11 +10,16 @@
 from ..protocol import Connection, RequestId
 from ..protocol.reports import AgentReport
 from ..protocol.requests import End, Head, PieceBatch, Pieces
+from ..telemetry import get_logger
 
 __all__ = ["PiecePacker"]
 
 FLUSH_INTERVAL_MS = 4.0
 MAX_HELD_BYTES = 64 * 1024
+MAX_BUFFERED_BYTES = 1024 * 1024
+SLOW_TIMEOUT_MS = 5_000.0
+
+log = get_logger("packing")
 
 
 class PiecePacker:
@@ -44,6 +49,7 @@
         self._ends: list[End] = []
         self._n_bytes = 0
         self._wake = trio.Event()
+        self._has_room = trio.Event()
         self._is_closed = False
         self._is_sending = False
 
@@ -57,6 +63,23 @@
         """Add an answer's head; it is sent with what comes after it."""
         self._heads.append(head)
 
+    async def wait_for_room(self) -> None:
+        """Return once a piece may be added.
+
+        A connection that takes nothing for `SLOW_TIMEOUT_MS` while the buffer is full
+        is closed: its entry host learns from the cut what became of its requests.
+        """
+        if self._n_bytes < MAX_BUFFERED_BYTES:
+            return
+        with trio.move_on_after(SLOW_TIMEOUT_MS / 1000):
+            while self._n_bytes >= MAX_BUFFERED_BYTES and not self._is_closed:
+                await self._has_room.wait()
+            return
+        peer = self._connection.identity.name
+        log.warning("connection.too_slow", peer=peer, n_bytes=self._n_bytes)
+        self.close()
+        await self._connection.close()
+
     def add(
         self, request_id: RequestId, piece_number: int, piece: bytes, is_stream: bool
     ) -> None:
@@ -85,6 +108,7 @@
         """Drop what was collected and stop sending."""
         self._is_closed = True
         self._wake.set()
+        self._has_room.set()
 
     async def run(self) -> None:
         """Send what was collected, until closed or the connection is lost.
@@ -101,13 +125,15 @@
                 next_flush_at = trio.current_time() + FLUSH_INTERVAL_MS / 1000
                 await self._flush()
         except PeerUnreachable:
-            self._is_closed = True
+            self.close()
 
     async def _flush(self) -> None:
         heads, self._heads = self._heads, []
         batches, self._batches = self._batches, {}
         ends, self._ends = self._ends, []
         self._n_bytes = 0
+        self._has_room.set()
+        self._has_room = trio.Event()
         if self._is_closed:
             return
         start_id = self._connection.identity.start_id
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -155,6 +155,7 @@
             attempt.packer.head(head)
             attempt.head = head
             async for piece in answer.pieces():
+                await attempt.packer.wait_for_room()
                 attempt.packer.add(
                     submit.request_id, attempt.n_pieces, piece, answer.has_events
                 )
--- /dev/null
+++ b/tests/requests/test_packing.py
@@ -0,0 +1,91 @@
+"""Answers to an entry host that takes them slowly, or not at all."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from poplarward.errors import PeerUnreachable
+from poplarward.protocol import ProcessIdentity, RequestId
+from poplarward.protocol.requests import End, Outcome, Pieces
+from poplarward.requests.packing import (
+    MAX_BUFFERED_BYTES,
+    SLOW_TIMEOUT_MS,
+    PiecePacker,
+)
+from poplarward.transport import Address
+
+REQUEST = RequestId("entry-1", 1, 1)
+PIECE = b"x" * 10_000
+N_PIECES = 1_000
+
+
+class SlowConnection:
+    """Takes nothing until it is let go; then what it took is kept."""
+
+    identity = ProcessIdentity("entry", "entry-1", 1, Address("10.0.0.1", 1), "rennes")
+
+    def __init__(self):
+        self.let_go = trio.Event()
+        self.is_closed = False
+        self.messages = []
+
+    async def notify_all(self, messages):
+        await self.let_go.wait()
+        if self.is_closed:
+            raise PeerUnreachable("closed")
+        self.messages.append(messages)
+
+    async def close(self):
+        self.is_closed = True
+        self.let_go.set()
+
+
+async def add_all(packer, added):
+    for number in range(N_PIECES):
+        await packer.wait_for_room()
+        packer.add(REQUEST, number, PIECE, is_stream=True)
+        added.append(number)
+    packer.end(End(REQUEST, Outcome.RAN, N_PIECES))
+
+
+@pytest.fixture
+async def slow(nursery, autojump_clock):
+    connection = SlowConnection()
+    packer = PiecePacker(connection, lambda connection: None)
+    added = []
+    nursery.start_soon(packer.run)
+    nursery.start_soon(add_all, packer, added)
+    await trio.sleep(1)
+    yield connection, packer, added
+    nursery.cancel_scope.cancel()
+
+
+async def test_upstream_is_read_no_further_than_the_buffer_holds(slow):
+    connection, _, added = slow
+    # What is being sent, and as much again.
+    assert len(added) * len(PIECE) <= 2 * (MAX_BUFFERED_BYTES + len(PIECE))
+    connection.let_go.set()
+    await trio.sleep(1)
+    batches = [
+        batch
+        for messages in connection.messages
+        for message in messages
+        if isinstance(message, Pieces)
+        for batch in message.batches
+    ]
+    assert sum(len(batch.pieces) for batch in batches) == N_PIECES
+    n_before = 0
+    for batch in batches:
+        assert batch.first_piece == n_before
+        assert sum(map(len, batch.pieces)) <= MAX_BUFFERED_BYTES + len(PIECE)
+        n_before += len(batch.pieces)
+
+
+async def test_connection_that_takes_nothing_is_closed(slow):
+    connection, packer, added = slow
+    await trio.sleep(SLOW_TIMEOUT_MS / 1000)
+    assert connection.is_closed
+    assert packer.is_idle
+    # The upstream's answer is read to its end, and dropped.
+    assert len(added) == N_PIECES
