--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -108,22 +108,13 @@
             RETRY_AFTER_MS,
         )
         while True:
-            verdict = self._verdict(progress)
+            verdict = await self._verdict_when_spare(progress)
             if verdict is Verdict.CONVICTED:
                 last = self._refuse(progress)
                 break
-            if verdict is Verdict.SUSPECT:
-                await self._wait_for_spare(progress)
-                verdict = self._verdict(progress)
-                if verdict is Verdict.CONVICTED:
-                    continue
-            agent = self._choose(progress, verdict is Verdict.SUSPECT)
-            if agent is None and last.is_planned:
-                agent = await self._wait_for_agent(progress, verdict is Verdict.SUSPECT)
+            agent = await self._next_agent(progress, verdict is Verdict.SUSPECT, last)
             if agent is None:
-                if request.is_keyed and read_issued_key(request.idempotency_key):
-                    progress.outcome = Outcome.UNKNOWN
-                    last = ISSUER_GONE
+                last = self._without_agent(progress, last)
                 break
             failure = await self._attempt(agent, progress)
             if failure is None:
@@ -146,6 +137,28 @@
                 progress.excluded.add(agent.identity)
         await self._give_up(progress, last)
 
+    async def _verdict_when_spare(self, progress: RequestProgress) -> Verdict | None:
+        """Return the verdict on a request, for a suspect once it may be tried."""
+        if self._verdict(progress) is Verdict.SUSPECT:
+            await self._wait_for_spare(progress)
+        return self._verdict(progress)
+
+    async def _next_agent(
+        self, progress: RequestProgress, is_suspect: bool, last: Failure
+    ) -> AgentView | None:
+        agent = self._choose(progress, is_suspect)
+        if agent is None and last.is_planned:
+            agent = await self._wait_for_agent(progress, is_suspect)
+        return agent
+
+    def _without_agent(self, progress: RequestProgress, last: Failure) -> Failure:
+        """Return the failure to answer with when there is no agent to try."""
+        request = progress.request
+        if request.is_keyed and read_issued_key(request.idempotency_key):
+            progress.outcome = Outcome.UNKNOWN
+            return ISSUER_GONE
+        return last
+
     async def _wait_for_agent(
         self, progress: RequestProgress, is_suspect: bool
     ) -> AgentView | None:
