Name what is kept from upstreams by the field's term, quarantine

Cause: code and pages on requests that crash upstreams spoke of culprits, convictions and innocents, words of a court. The field says quarantine.

Change: names and words only; the log's field is `quarantined`.

--- a/benchmarks/crashing_requests.py
+++ b/benchmarks/crashing_requests.py
@@ -33,11 +33,11 @@
 
 N_ENGINES = 8
 N_ENTRIES = 3
-N_CULPRITS = range(1, 6)
+N_CRASHING = range(1, 6)
 N_SLOTS = 32
 STEP_MS = 20.0
 RESTART_MS = 5_000.0
-INNOCENTS_PER_S = 30.0
+OTHERS_PER_S = 30.0
 TOKENS_RANGE = (20, 60)
 RESEND_PAUSE_MS = 1_000.0
 
@@ -48,7 +48,7 @@
     def suspect(self, digests: Iterable[int]) -> None:
         """Have all of them refused."""
         for digest in digests:
-            self.convict(digest)
+            self.quarantine(digest)
 
 
 POLICIES = {
@@ -66,14 +66,14 @@
     results = [
         {
             "policy": policy,
-            "culprits": n_culprits,
+            "n_crashing": n_crashing,
             "at_once": n_at_once,
             **run_in_virtual_time(
-                seed, _run, policy, n_culprits, n_at_once, seed, seconds
+                seed, _run, policy, n_crashing, n_at_once, seed, seconds
             ),
         }
         for n_at_once in (1, N_ENTRIES)
-        for n_culprits in N_CULPRITS
+        for n_crashing in N_CRASHING
         for policy in POLICIES
     ]
     if arguments["--json"]:
@@ -85,12 +85,12 @@
 
 
 async def _run(
-    policy: str, n_culprits: int, n_at_once: int, seed: int, seconds: float
+    policy: str, n_crashing: int, n_at_once: int, seed: int, seconds: float
 ) -> dict[str, Any]:
     rng = random.Random(seed)
     make = POLICIES[policy]
-    innocents: Counter[str] = Counter()
-    culprits: Counter[str] = Counter()
+    others: Counter[str] = Counter()
+    crashing: Counter[str] = Counter()
     async with trio.open_nursery() as nursery:
         path = MemoryPath(nursery)
         engines = CrashingEngines(path, RESTART_MS)
@@ -101,34 +101,34 @@
         ]
         with trio.move_on_after(seconds):
             async with trio.open_nursery() as callers:
-                for number in range(n_culprits):
+                for number in range(n_crashing):
                     callers.start_soon(
-                        _send_culprit, entries, number, n_at_once, rng, culprits
+                        _send_crashing, entries, number, n_at_once, rng, crashing
                     )
-                callers.start_soon(_send_innocents, entries, rng, innocents, nursery)
+                callers.start_soon(_send_others, entries, rng, others, nursery)
                 await trio.sleep_forever()
         # Those that are under way end.
         await trio.sleep(seconds)
         nursery.cancel_scope.cancel()
     return {
         "engines_lost": engines.n_crashes,
-        "culprits_refused": culprits["refused"],
-        "innocents": sum(innocents.values()),
-        "whole": innocents["whole"],
-        "refused": innocents["refused"],
-        "failed": innocents["failed"],
-        "wrong": innocents["wrong"],
+        "crashing_refused": crashing["refused"],
+        "others": sum(others.values()),
+        "whole": others["whole"],
+        "refused": others["refused"],
+        "failed": others["failed"],
+        "wrong": others["wrong"],
     }
 
 
-async def _send_innocents(
+async def _send_others(
     entries: list[Any],
     rng: random.Random,
     outcomes: Counter[str],
     nursery: trio.Nursery,
 ) -> None:
     while True:
-        await trio.sleep(rng.expovariate(INNOCENTS_PER_S))
+        await trio.sleep(rng.expovariate(OTHERS_PER_S))
         nursery.start_soon(
             draft_until_answered,
             [rng.choice(entries)],
@@ -140,7 +140,7 @@
         )
 
 
-async def _send_culprit(
+async def _send_crashing(
     entries: list[Any],
     number: int,
     n_at_once: int,
--- a/poplarward/protocol/suspects.py
+++ b/poplarward/protocol/suspects.py
@@ -17,7 +17,7 @@
     """
 
     SUSPECT = 1
-    CONVICTED = 2
+    QUARANTINED = 2
     CLEARED = 3
 
 
--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -109,7 +109,7 @@
         )
         while True:
             verdict = await self._verdict_when_spare(progress)
-            if verdict is Verdict.CONVICTED:
+            if verdict is Verdict.QUARANTINED:
                 last = self._refuse(progress)
                 break
             agent = await self._next_agent(progress, verdict is Verdict.SUSPECT, last)
--- a/poplarward/requests/running.py
+++ b/poplarward/requests/running.py
@@ -74,7 +74,7 @@
             self._suspects.suspect([digest])
             verdict = Verdict.SUSPECT
         match verdict:
-            case Verdict.CONVICTED:
+            case Verdict.QUARANTINED:
                 return crash_refused(attempt.submit, self._suspects.left_ms(digest))
             case Verdict.SUSPECT:
                 return await self._run_in_turn(attempt, digest)
@@ -85,7 +85,7 @@
         attempt.is_suspect = True
         is_strict = self._suspects.n_crashes(digest) > 1
         async with self._lane.turn(is_strict, attempt.scope.deadline) as turn:
-            if self._suspects.verdict(digest) is Verdict.CONVICTED:
+            if self._suspects.verdict(digest) is Verdict.QUARANTINED:
                 return crash_refused(attempt.submit, self._suspects.left_ms(digest))
             attempt.turn = turn
             return await self._run_by_key(attempt)
@@ -183,7 +183,7 @@
         attempt.has_crashed = await self._watch.broke_off(number, digest)
         if not attempt.has_crashed:
             return end
-        if self._suspects.verdict(digest) is not Verdict.CONVICTED:
+        if self._suspects.verdict(digest) is not Verdict.QUARANTINED:
             return end
         return dataclasses.replace(
             end,
--- a/poplarward/requests/suspects/lane.py
+++ b/poplarward/requests/suspects/lane.py
@@ -1,4 +1,4 @@
-"""Lets suspects run at an upstream one at a time, so that a crash names the culprit."""
+"""Lets suspects run at an upstream one at a time, so that a crash names one."""
 
 from __future__ import annotations
 
--- a/poplarward/requests/suspects/table.py
+++ b/poplarward/requests/suspects/table.py
@@ -73,7 +73,8 @@
     keep_ms : float
         How long a verdict holds.
     n_entries : int
-        Verdicts that are kept; those that end soonest go first, convictions last.
+        Verdicts that are kept; those that end soonest go first, requests in
+        quarantine last.
 
     Examples
     --------
@@ -122,11 +123,11 @@
             elif case.verdict is Verdict.SUSPECT:
                 self._put(digest, Verdict.SUSPECT, case.n_rounds, case.n_crashes + 1)
 
-    def convict(self, digest: int) -> None:
+    def quarantine(self, digest: int) -> None:
         """Have a request refused from now on."""
         case = self._case(digest)
         n_rounds, n_crashes = (0, 0) if case is None else case[1:3]
-        self._put(digest, Verdict.CONVICTED, n_rounds, n_crashes + 1)
+        self._put(digest, Verdict.QUARANTINED, n_rounds, n_crashes + 1)
 
     def clear(self, digest: int) -> None:
         """Note that a request has run to its end without a crash."""
@@ -207,4 +208,4 @@
 
     def _worth(self, digest: int) -> tuple[bool, float]:
         case = self._cases[digest]
-        return case.verdict is Verdict.CONVICTED, case.expires_at
+        return case.verdict is Verdict.QUARANTINED, case.expires_at
--- a/poplarward/requests/suspects/watch.py
+++ b/poplarward/requests/suspects/watch.py
@@ -36,7 +36,7 @@
 
     The upstream has crashed if every request that ran at the first break breaks off
     within `SETTLE_MS`. If a suspect was among them and no other suspect, it is
-    convicted; otherwise all suspects among them, or all if there was none, are
+    quarantined; otherwise all suspects among them, or all if there was none, are
     suspected.
 
     Parameters
@@ -106,13 +106,13 @@
         digests = set(current.broken.values())
         suspects = {d for d in digests if self._table.verdict(d) is Verdict.SUSPECT}
         if len(suspects) == 1:
-            [culprit] = suspects
-            self._table.convict(culprit)
+            [digest] = suspects
+            self._table.quarantine(digest)
         else:
             self._table.suspect(suspects or digests)
         log.warning(
             "upstream.crashed",
             n_requests=len(digests),
             n_suspects=len(suspects),
-            convicted=f"{culprit:016x}" if len(suspects) == 1 else "",
+            quarantined=f"{digest:016x}" if len(suspects) == 1 else "",
         )
--- a/tests/programs/test_crashing_requests.py
+++ b/tests/programs/test_crashing_requests.py
@@ -13,7 +13,7 @@
 HEADERS = [("authorization", "Bearer caller"), ("content-type", "application/json")]
 MARKER = "melt the glaze"
 N_ENGINES = 4
-N_INNOCENTS = 8
+N_OTHERS = 8
 N_TOKENS = 100
 
 
@@ -67,7 +67,7 @@
             clients = await start(deployment)
             whole = []
 
-            async def send_innocent(number: int) -> None:
+            async def send_other(number: int) -> None:
                 prompt = f"A quiet dog ({number})."
                 response = await send(clients[number % 2], prompt)
                 whole.append(
@@ -75,11 +75,11 @@
                 )
 
             async with trio.open_nursery() as callers:
-                for number in range(N_INNOCENTS):
-                    callers.start_soon(send_innocent, number)
+                for number in range(N_OTHERS):
+                    callers.start_soon(send_other, number)
                 answer = await send(clients[0], f"A grey cat, {MARKER}.")
                 assert answer.status == 422
-            assert whole == [True] * N_INNOCENTS
+            assert whole == [True] * N_OTHERS
             for client in clients:
                 answer = await send(client, f"A grey cat, {MARKER}.")
                 assert answer.status == 422
--- a/tests/requests/suspects/test_crashing_requests.py
+++ b/tests/requests/suspects/test_crashing_requests.py
@@ -19,7 +19,7 @@
 from poplarward.standins.engine import completion_words
 from poplarward.standins.ledger import LedgerStandin
 
-CULPRIT = f"A grey cat, {MARKER}."
+CRASHING = f"A grey cat, {MARKER}."
 
 
 async def start(nursery, n_engines=4, n_entries=3, **options):
@@ -43,13 +43,13 @@
     )
 
 
-async def send(entry, prompt=CULPRIT, workspace="ateliers"):
+async def send(entry, prompt=CRASHING, workspace="ateliers"):
     caller = Caller()
     await entry.run(draft(prompt)._replace(workspace=workspace), caller)
     return caller
 
 
-async def test_second_crash_names_the_culprit_and_innocents_finish(
+async def test_second_crash_names_the_request_and_others_finish(
     nursery, autojump_clock
 ):
     path, engines, entries = await start(nursery)
@@ -61,10 +61,10 @@
                 draft_until_answered, entries[number % 3 :], prompt, outcomes
             )
         await trio.sleep(0.1)
-        culprit = Counter()
-        callers.start_soon(draft_until_answered, entries, CULPRIT, culprit, 10)
+        crashing = Counter()
+        callers.start_soon(draft_until_answered, entries, CRASHING, crashing, 10)
     assert outcomes == {"whole": 24}
-    assert culprit == {"refused": 1}
+    assert crashing == {"refused": 1}
     assert engines.n_crashes == 2
     await trio.sleep(2)
     for entry in entries:
@@ -81,15 +81,17 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_culprit_sent_at_every_entry_host_at_once(nursery, autojump_clock):
+async def test_crashing_request_sent_at_every_entry_host_at_once(
+    nursery, autojump_clock
+):
     _, engines, entries = await start(nursery, n_engines=6)
     first = Counter()
-    await draft_until_answered(entries[:1], CULPRIT, first, 1)
+    await draft_until_answered(entries[:1], CRASHING, first, 1)
     assert first == {"refused": 1}
     outcomes = Counter()
     async with trio.open_nursery() as callers:
         for entry in entries:
-            callers.start_soon(draft_until_answered, [entry], CULPRIT, outcomes, 5)
+            callers.start_soon(draft_until_answered, [entry], CRASHING, outcomes, 5)
     assert outcomes == {"refused": 3}
     assert engines.n_crashes == 2
     nursery.cancel_scope.cancel()
@@ -99,11 +101,11 @@
     """All entry hosts send a suspect to one agent, which lets one run."""
     _, engines, entries = await start(nursery, n_engines=6)
     for entry in entries:
-        entry.suspects.suspect([digest_of(draft(CULPRIT))])
+        entry.suspects.suspect([digest_of(draft(CRASHING))])
     outcomes = Counter()
     async with trio.open_nursery() as callers:
         for entry in entries:
-            callers.start_soon(draft_until_answered, [entry], CULPRIT, outcomes, 5)
+            callers.start_soon(draft_until_answered, [entry], CRASHING, outcomes, 5)
     assert outcomes == {"refused": 3}
     assert engines.n_crashes == 1
     nursery.cancel_scope.cancel()
@@ -112,7 +114,7 @@
 async def test_other_workspace_with_the_same_body_is_served(nursery, autojump_clock):
     _, engines, entries = await start(nursery)
     table = entries[0].suspects
-    table.convict(digest_of(draft("A grey cat.")))
+    table.quarantine(digest_of(draft("A grey cat.")))
     assert (await send(entries[0], "A grey cat.")).status == 422
     caller = await send(entries[0], "A grey cat.", workspace="owners")
     assert caller.words() == completion_words("A grey cat.", 20)
@@ -139,8 +141,8 @@
     assert (await send(entries[0])).status == 422
     late = await path.start_entry("entry-9", "10.1.0.9")
     await trio.sleep(2)
-    verdict = late.suspects.verdict(digest_of(draft(CULPRIT)))
-    assert verdict is Verdict.CONVICTED
+    verdict = late.suspects.verdict(digest_of(draft(CRASHING)))
+    assert verdict is Verdict.QUARANTINED
     assert (await send(late)).status == 422
     assert engines.n_crashes == 2
     nursery.cancel_scope.cancel()
@@ -166,14 +168,14 @@
     path, engines, entries = await start(nursery)
     path.faults.loss = 0.5
     for executor in path.agents.values():
-        executor.suspects.convict(digest_of(draft(CULPRIT)))
+        executor.suspects.quarantine(digest_of(draft(CRASHING)))
         break
     await trio.sleep(20)
     path.faults.loss = 0.0
     await trio.sleep(3)
-    digest = digest_of(draft(CULPRIT))
+    digest = digest_of(draft(CRASHING))
     for entry in entries:
-        assert entry.suspects.verdict(digest) is Verdict.CONVICTED
+        assert entry.suspects.verdict(digest) is Verdict.QUARANTINED
         assert (await send(entry)).status == 422
     assert engines.n_crashes == 0
     nursery.cancel_scope.cancel()
@@ -187,8 +189,8 @@
     assert entries[2].suspects.is_empty
     path.cut.clear()
     await trio.sleep(5)
-    verdict = entries[2].suspects.verdict(digest_of(draft(CULPRIT)))
-    assert verdict is Verdict.CONVICTED
+    verdict = entries[2].suspects.verdict(digest_of(draft(CRASHING)))
+    assert verdict is Verdict.QUARANTINED
     assert (await send(entries[2])).status == 422
     assert engines.n_crashes == 2
     nursery.cancel_scope.cancel()
@@ -308,7 +310,7 @@
 
 
 async def test_agents_of_all_groups_of_a_pool_name_a_request_alike():
-    request = draft(CULPRIT)
+    request = draft(CRASHING)
     submit = Submit(
         RequestId("entry-1", 1, 1),
         request.workspace,
@@ -328,13 +330,13 @@
 async def test_lost_verdict_is_sent_again(nursery, autojump_clock):
     path, engines, entries = await start(nursery, n_engines=1, n_entries=1)
     path.faults.loss = 1.0
-    path.agents["agent-1"].suspects.convict(digest_of(draft(CULPRIT)))
+    path.agents["agent-1"].suspects.quarantine(digest_of(draft(CRASHING)))
     await trio.sleep(0.5)
     path.faults.loss = 0.0
     assert entries[0].suspects.is_empty
     await trio.sleep(3)
-    verdict = entries[0].suspects.verdict(digest_of(draft(CULPRIT)))
-    assert verdict is Verdict.CONVICTED
+    verdict = entries[0].suspects.verdict(digest_of(draft(CRASHING)))
+    assert verdict is Verdict.QUARANTINED
     nursery.cancel_scope.cancel()
 
 
