--- a/poplarward/transport/http_server.py
+++ b/poplarward/transport/http_server.py
@@ -27,6 +27,8 @@
 
 GRACEFUL_TIMEOUT_S = 120.0
 MAX_HEADER_BYTES = 16 * 1024
+# Without a whole header: a connection that is kept, or a caller that is very slow.
+IDLE_TIMEOUT_S = 75.0
 
 log = get_logger("http")
 
@@ -205,7 +207,7 @@
     config.errorlog = None
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
-    config.keep_alive_timeout = 75.0
+    config.keep_alive_timeout = IDLE_TIMEOUT_S
     if tls is not None:
         config.certfile = tls.certificate
         config.keyfile = tls.key
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,11 +1,17 @@
-"""A listener that stops lets go of connections that callers keep open."""
+"""A listener lets go of callers that keep connections open or send headers slowly."""
 
 from __future__ import annotations
 
 import pytest
 import trio
 
-from poplarward.transport import Address, HttpClient, asgi_application, serve_http
+from poplarward.transport import (
+    Address,
+    HttpClient,
+    asgi_application,
+    http_server,
+    serve_http,
+)
 
 STOP_TIMEOUT_S = 30.0
 
@@ -62,3 +68,19 @@
         await stopped.wait()
     await client.close()
     nursery.cancel_scope.cancel()
+
+
+async def test_caller_that_sends_headers_without_an_end_is_cut_off(
+    nursery, monkeypatch
+):
+    monkeypatch.setattr(http_server, "IDLE_TIMEOUT_S", 0.3)
+    application = asgi_application(answer_plainly)
+    address = await nursery.start(serve_http, application, Address("127.0.0.1", 0))
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    await stream.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n")
+    with trio.fail_after(STOP_TIMEOUT_S), pytest.raises(trio.BrokenResourceError):
+        while True:
+            await stream.send_all(b"x-more: x\r\n")
+            await trio.sleep(0.05)
+    await stream.aclose()
+    nursery.cancel_scope.cancel()
