State when callers may come back by default in one place

Cause: RETRY_AFTER_MS = 1_000 stood in attempts, following and key_issuer, of which following is a copy made when attempts was split; they mean the same.

Change: the constant is in retries, beside Failure. Admission's own 500 ms, for a full entry host, means something else and stays.

Ruled out: nothing else differs.

--- a/poplarward/requests/attempts.py
+++ b/poplarward/requests/attempts.py
@@ -23,6 +23,7 @@
 from .progress import RequestProgress
 from .relay import Relay
 from .retries import (
+    RETRY_AFTER_MS,
     AttemptBudget,
     Failure,
     GiveUp,
@@ -34,7 +35,6 @@
 
 __all__ = ["AttemptLoop"]
 
-RETRY_AFTER_MS = 1_000
 MOVE_WAIT_MS = 10_000.0
 MOVE_POLL_MS = 100.0
 SPARE_TIMEOUT_MS = 10_000.0
--- a/poplarward/requests/following.py
+++ b/poplarward/requests/following.py
@@ -9,12 +9,11 @@
 from .answers import Answer, AnswerChanged
 from .progress import RequestProgress
 from .relay import Relay
-from .retries import Failure
+from .retries import RETRY_AFTER_MS, Failure
 from .streams import AttemptStream, Broken, Chunk
 
 __all__ = ["AttemptFollower"]
 
-RETRY_AFTER_MS = 1_000
 BAR_TIMEOUT_MS = 2_000.0
 DEADLINE_BAR_TIMEOUT_MS = 250.0
 DEADLINE_GRACE_MS = 250.0
--- a/poplarward/requests/key_issuer.py
+++ b/poplarward/requests/key_issuer.py
@@ -7,12 +7,12 @@
 from ..errors import CallRefused, PeerTimeout, PeerUnreachable, Refused
 from ..protocol import Peers
 from ..protocol.payments import IssueKey
+from .retries import RETRY_AFTER_MS
 from .routing import AgentView, Router
 
 __all__ = ["KeyIssuer"]
 
 ISSUE_TIMEOUT_MS = 1_000.0
-RETRY_AFTER_MS = 1_000
 
 
 class KeyIssuer:
--- a/poplarward/requests/retries.py
+++ b/poplarward/requests/retries.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Failure",
     "GiveUp",
+    "RETRY_AFTER_MS",
     "Progress",
     "Retry",
     "AttemptBudget",
@@ -18,6 +19,7 @@
 ]
 
 MAX_ATTEMPTS = 4
+RETRY_AFTER_MS = 1_000
 MIN_TIME_LEFT_MS = 20.0
 RETRIES_PER_REQUEST = 0.2
 INITIAL_RETRIES = 10.0
