Build an entry host's index of pools once

Cause: the entry host made an UpstreamPools for routing, and the gateway's Directory made another, so each change of the configuration built the index of all model groups twice.

Change: the gateway takes the directory, and router and connections use the directory's pools. Two tests pass a directory where they passed a view; their assertions are the same.

The saving was not measured.

--- a/poplarward/programs/entry_host.py
+++ b/poplarward/programs/entry_host.py
@@ -29,10 +29,10 @@
     AgentConnections,
     AgentTable,
     AttemptLoop,
+    Directory,
     Gateway,
     Relay,
     Router,
-    UpstreamPools,
     WorkspaceLimits,
     named_addresses,
 )
@@ -121,16 +121,16 @@
 
     def _make_requests(self) -> None:
         agents = AgentTable(self.peers)
-        pools = UpstreamPools(self.view)
+        directory = Directory(self.view)
         router = Router(
             agents,
             leaving=self._agents_to_avoid,
-            pools=pools,
+            pools=directory.pools,
             data_centre=self._settings["data_centre"],
             far_cost_requests=self._settings.get("far_cost_requests", 0.0),
         )
         self.connections = AgentConnections(
-            self.peers, agents, lambda: self.hosts.hosts.values(), pools
+            self.peers, agents, lambda: self.hosts.hosts.values(), directory.pools
         )
         self.limits = WorkspaceLimits(
             self.peers,
@@ -139,7 +139,7 @@
         )
         self.attempts = AttemptLoop(self.peers, Relay(self.peers), router)
         self.gateway = Gateway(
-            self.view,
+            directory,
             Admission(limits=self.limits),
             self.attempts,
             self._addresses_to_name,
--- a/poplarward/requests/__init__.py
+++ b/poplarward/requests/__init__.py
@@ -8,6 +8,7 @@
 from .addresses import named_addresses
 from .admission import Admission
 from .attempts import AttemptLoop
+from .directory import Directory
 from .execution import Executor
 from .gateway import Gateway
 from .limits import WorkspaceLimits
@@ -28,6 +29,7 @@
     "AgentTable",
     "AgentView",
     "AttemptLoop",
+    "Directory",
     "Executor",
     "Gateway",
     "PrefillTurns",
--- a/poplarward/requests/directory.py
+++ b/poplarward/requests/directory.py
@@ -23,6 +23,11 @@
     It is rebuilt after a change of the configuration, on the next look-up, so that a
     look-up costs the same for ten workspaces as for thousands.
 
+    Attributes
+    ----------
+    pools : UpstreamPools
+        Which upstreams take the same requests.
+
     Parameters
     ----------
     configuration : ConfigurationView
@@ -33,7 +38,7 @@
         self._configuration = configuration
         self._built_at_change = -1
         self._workspace_of_digest: dict[str, str] = {}
-        self._pools = UpstreamPools(configuration)
+        self.pools = UpstreamPools(configuration)
 
     def workspace(self, authorization: str) -> str:
         """Return the workspace of an ``Authorization`` header's bearer token."""
@@ -52,7 +57,7 @@
 
     def model_pool(self, model: Any) -> str:
         """Return the pool of the model groups that serve a model."""
-        name = self._pools.of_model(model) if isinstance(model, str) else None
+        name = self.pools.of_model(model) if isinstance(model, str) else None
         if name is None:
             raise CallerError(404, f"no model group serves {str(model)[:80]!r}")
         return name
@@ -74,7 +79,7 @@
         spec = self._configuration.get("services", name)
         if spec is None:
             raise CallerError(404, f"no service {name[:80]!r}")
-        if self._pools.of_upstream(spec["upstream"]) != pool:
+        if self.pools.of_upstream(spec["upstream"]) != pool:
             raise CallerError(403, f"service {name} does not call {pool}")
         allowed = self._configuration.get("workspaces", workspace)["services"]
         if allowed and name not in allowed:
--- a/poplarward/requests/gateway.py
+++ b/poplarward/requests/gateway.py
@@ -8,7 +8,6 @@
 
 from ..errors import BodyTooLarge, CallerGone, Refused
 from ..protocol.requests import Outcome
-from ..state import ConfigurationView
 from ..telemetry import RequestMetrics, RequestTimer
 from ..transport import HttpRequest, Responder
 from .admission import Admission
@@ -28,8 +27,8 @@
 
     Parameters
     ----------
-    configuration : ConfigurationView
-        What is in force.
+    directory : Directory
+        Finds what requests refer to.
     admission : Admission
         Limits and queues that a request passes first.
     attempts : AttemptLoop
@@ -44,14 +43,14 @@
 
     def __init__(
         self,
-        configuration: ConfigurationView,
+        directory: Directory,
         admission: Admission,
         attempts: AttemptLoop,
         entry_addresses: Callable[[str], list[str]],
         metrics: RequestMetrics | None = None,
         address_keep_ms: float = ADDRESS_KEEP_MS,
     ):
-        self._directory = Directory(configuration)
+        self._directory = directory
         self._admission = admission
         self._attempts = attempts
         self._entry_addresses = entry_addresses
--- a/tests/requests/test_bad_input.py
+++ b/tests/requests/test_bad_input.py
@@ -47,7 +47,7 @@
 
 @pytest.fixture
 async def address(nursery):
-    gateway = Gateway(make_view(), Admission(), EchoAttempts(), list)
+    gateway = Gateway(Directory(make_view()), Admission(), EchoAttempts(), list)
     application = asgi_application(gateway.handle)
     bound = await nursery.start(serve_http, application, Address("127.0.0.1", 0))
     yield bound
--- a/tests/requests/test_caller_session.py
+++ b/tests/requests/test_caller_session.py
@@ -11,7 +11,7 @@
 import trio
 
 from benchmarks.memory_path import Caller, MemoryPath, MemoryUpstream
-from poplarward.requests import Admission, Gateway
+from poplarward.requests import Admission, Directory, Gateway
 from poplarward.requests.payments import Payments
 from poplarward.standins.engine import EngineStandin, EngineTiming
 from poplarward.standins.ledger import LedgerStandin
@@ -110,7 +110,10 @@
     entry = await path.start_entry()
     addresses = [Address("10.1.0.1", 8000)]
     gateway = Gateway(
-        make_view(), Admission(), entry, lambda caller_host: list(map(str, addresses))
+        Directory(make_view()),
+        Admission(),
+        entry,
+        lambda caller_host: list(map(str, addresses)),
     )
     session = Session(gateway)
     draft = {"model": "portrait", "prompt": "A grey cat.", "max_tokens": 3}
