Give back the place of a caller who leaves while it is being given

Cause: WaitingRoom.place forgot a place that wake() had given to a waiter whose task was cancelled but had not run yet; the place stayed counted on that host until the process ended. Ruled out: a caller who leaves after its event was set; its wait returns, and the attempt's own clean-up frees the place. Change: a cancelled waiter gives back what it was assigned. Test: test_place_of_a_caller_who_leaves_meanwhile_is_not_lost, red before (0 == 1), green after; no bench run for this change alone.

--- a/poplarward/direct/beliefs.py
+++ b/poplarward/direct/beliefs.py
@@ -213,7 +213,9 @@
     def _room(self, service: str) -> WaitingRoom:
         room = self._rooms.get(service)
         if room is None:
-            room = WaitingRoom(lambda ticket: self._take_place(service, ticket))
+            room = WaitingRoom(
+                lambda ticket: self._take_place(service, ticket), self._give_back
+            )
             self._rooms[service] = room
         return room
 
@@ -232,6 +234,12 @@
         self.on_load_change()
         return chosen.id
 
+    def _give_back(self, upstream_id: str) -> None:
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is not None:
+            self.upstreams.end(upstream)
+        self.on_load_change()
+
     def _wake_all(self) -> None:
         for room in self._rooms.values():
             room.wake()
--- a/poplarward/direct/waiting.py
+++ b/poplarward/direct/waiting.py
@@ -149,10 +149,17 @@
     ----------
     take_place : callable
         Takes a place for a ticket and returns the upstream's id, None without one.
+    give_back : callable
+        Takes back a place, by the upstream's id, whose request will not use it.
     """
 
-    def __init__(self, take_place: Callable[[Ticket], str | None]):
+    def __init__(
+        self,
+        take_place: Callable[[Ticket], str | None],
+        give_back: Callable[[str], None],
+    ):
         self._take_place = take_place
+        self._give_back = give_back
         self._waiters: dict[int, _Waiter] = {}
         self._numbers = itertools.count()
         self._freed = _Rate()
@@ -185,6 +192,11 @@
         try:
             with trio.move_on_after(max_wait_ms / 1000):
                 await waiter.placed.wait()
+        except trio.Cancelled:
+            # The caller has left, perhaps just after a place became free for it.
+            if waiter.upstream_id is not None:
+                self._give_back(waiter.upstream_id)
+            raise
         finally:
             del self._waiters[ticket.number]
         if waiter.upstream_id is None:
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -127,10 +127,27 @@
         self.n_free -= 1
         return "u"
 
+    def give_back(self, upstream_id):
+        assert upstream_id == "u"
+        self.n_free += 1
+
+
+async def test_place_of_a_caller_who_leaves_meanwhile_is_not_lost():
+    places = Places(0)
+    room = WaitingRoom(places.take, places.give_back)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(room.place, 1, 1e12, 5_000.0, ())
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+        places.n_free += 1
+        room.wake()
+        assert places.n_free == 0
+    assert places.n_free == 1
+
 
 async def test_urgent_and_on_time_requests_go_first():
     places = Places(0)
-    room = WaitingRoom(places.take)
+    room = WaitingRoom(places.take, places.give_back)
     order = []
     far = 1e12
 
@@ -159,7 +176,7 @@
 async def test_burst_beyond_the_places_is_refused_at_once():
     """50 requests come at once where some four places are freed in a second."""
     places = Places(6)
-    room = WaitingRoom(places.take)
+    room = WaitingRoom(places.take, places.give_back)
     results = []
 
     async def call():
