Answer shifts of demand sooner, and run no more at once than pauses allow

Streams that end later while new ones come make passes longer still. Ruled out: the maps themselves (1.15 to 1.29 after a plan), the relay, the copies (111 to 555 ms). Change: every host tells in its beats when its streams slow all at once; the host that tends the maps then reads counts twice, a pass or two apart, and plans from what is new. The pass to hold is chosen from the step that comes with counts, which is fresh (seen: 4 to 5 passes ahead of the reports). A group without requests is not asked for counts; one that forms anew is planned for from what is known; a change that reports do not show yet is not made twice. batch_limit bounds what runs at once by the pauses' objective.

--- /dev/null
+++ b/poplarward/direct/batch_limit.py
@@ -0,0 +1,59 @@
+"""Bounds the requests that run at once by the pauses that their streams may have.
+
+Load pattern: demand for experts shifts, and until the next map is in force each pass of
+a rank group takes twice its time or more. Streams end later, new ones keep coming, and
+with each of them the passes get longer, until every stream's pauses are over their
+objective. With fewer at once the passes stay short enough: those that run are on time,
+and only those beyond have to come back.
+"""
+
+from __future__ import annotations
+
+__all__ = ["max_running"]
+
+OBJECTIVE_PART = 0.9  # Passes differ by a prompt or two that are read in between.
+MIN_PER_RANK = 1.0  # Below it a pass consists of its fixed time.
+
+
+def max_running(
+    n_running: float,
+    n_ranks: int,
+    pause_ms: float | None,
+    fixed_ms: float,
+    objective_ms: float,
+) -> float:
+    """Return how many requests a group may run for pauses within their objective.
+
+    A pass takes a fixed time and one that grows with the requests in it.
+
+    Parameters
+    ----------
+    n_running : float
+        Requests that run now, on all ranks.
+    n_ranks : int
+    pause_ms : float or None
+        Pause between events now, None if it is not known.
+    fixed_ms : float
+        Time of a pass without requests.
+    objective_ms : float
+        Longest pause that is on time; 0 without one.
+
+    Returns
+    -------
+    float
+        Infinite if nothing is known, or if the objective can't be met with any number
+        of requests.
+
+    Examples
+    --------
+    >>> round(max_running(60, 16, pause_ms=90.0, fixed_ms=30.0, objective_ms=120.0))
+    78
+    >>> round(max_running(80, 16, pause_ms=150.0, fixed_ms=30.0, objective_ms=120.0))
+    52
+    >>> max_running(80, 16, pause_ms=400.0, fixed_ms=300.0, objective_ms=120.0)
+    inf
+    """
+    room_ms = OBJECTIVE_PART * objective_ms - fixed_ms
+    if pause_ms is None or pause_ms <= fixed_ms or room_ms <= 0:
+        return float("inf")
+    return max(MIN_PER_RANK * n_ranks, n_running * room_ms / (pause_ms - fixed_ms))
--- a/poplarward/direct/beliefs.py
+++ b/poplarward/direct/beliefs.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Sequence
 
 from ..telemetry.logs import get_logger
 from ..transport.http1_server import CallerLimits
+from .batch_limit import max_running
 from .clock import now_ms
 from .model import Configuration, EngineProfile, Service
 from .pace import Pace, can_end_in_time
-from .placement import choose_upstream
+from .placement import Candidate, choose_upstream
 from .retry_share import RetryShare
 from .routing_table import RoutingTable
 from .upstreams import Upstream, UpstreamTable
-from .waiting import Placed, Refused, Ticket, WaitingRoom
+from .waiting import Placed, Refused, Ticket, WaitingRoom, WantedPlace
 
 __all__ = ["Beliefs", "RetryBounds"]
 
@@ -160,18 +161,23 @@
         """Return the pauses between a service's events, as seen here."""
         return self._paces.setdefault(service, Pace())
 
+    def note_pause(self, service: str, pause_ms: float) -> None:
+        """Take in the pause before an event of one of a service's streams."""
+        pace = self.pace(service)
+        was_jumping = pace.has_jumped()
+        pace.note(pause_ms)
+        if pace.has_jumped() and not was_jumping:
+            self.on_load_change()
+
+    def slowed_services(self) -> list[str]:
+        """Return the services whose streams have all at once become slower."""
+        return [name for name, pace in self._paces.items() if pace.has_jumped()]
+
     def retries(self, service: str) -> _ServiceRetries:
         """Return the retries left towards a service."""
         return self._retry_bounds.of(service)
 
-    async def place(
-        self,
-        service: str,
-        priority: int,
-        on_time_until_ms: float,
-        max_wait_ms: float,
-        tried: Collection[str],
-    ) -> Placed | Refused:
+    async def place(self, service: str, wanted: WantedPlace) -> Placed | Refused:
         """Return a place at one of a service's upstreams, or a refusal."""
         at_ms = now_ms()
         closed_ms = self._group_closed_until_ms.get(service, at_ms) - at_ms
@@ -183,7 +189,7 @@
             return room.refuse_until(
                 "no upstream takes requests", return_ms or NO_UPSTREAM_RETRY_MS
             )
-        return await room.place(priority, on_time_until_ms, max_wait_ms, tried)
+        return await room.place(wanted)
 
     def can_end_in_time(
         self, service: str, expected_tokens: int | None, left_ms: float
@@ -222,9 +228,19 @@
     def _take_place(self, service: str, ticket: Ticket) -> str | None:
         declared = self.service(service)
         engine = declared.engine if declared is not None else None
+        candidates = self.upstreams.candidates(service, now_ms(), _base_load(engine))
+        objective_ms = ticket.wanted.pause_objective_ms
+        if engine is not None and objective_ms > 0:
+            n_running = sum(candidate.n_in_hand for candidate in candidates)
+            fixed_ms = _fixed_pass_ms(engine, candidates)
+            pause_ms = self.pace(service).highest_ms()
+            if n_running >= max_running(
+                n_running, len(candidates), pause_ms, fixed_ms, objective_ms
+            ):
+                return None
         chosen = choose_upstream(
-            self.upstreams.candidates(service, now_ms(), _base_load(engine)),
-            ticket.tried,
+            candidates,
+            ticket.wanted.tried,
             self._rng,
             PLAIN_MAX_FILL if engine is None else ENGINE_MAX_FILL,
         )
@@ -245,6 +261,12 @@
             room.wake()
 
 
+def _fixed_pass_ms(engine: EngineProfile, ranks: Sequence[Candidate]) -> float:
+    """Return the time of a pass of a group without requests."""
+    slowest = max((rank.slowness for rank in ranks), default=1.0)
+    return engine.step_ms * engine.steps_per_pass * slowest
+
+
 def _base_load(engine: EngineProfile | None) -> float:
     """Return the requests whose time a token step takes by itself."""
     if engine is None or engine.per_sequence_ms <= 0:
--- a/poplarward/direct/load_exchange.py
+++ b/poplarward/direct/load_exchange.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 import cbor2
@@ -19,12 +19,13 @@
 from ..telemetry.logs import get_logger
 from .clock import elapsed_ms, now_ms
 
-__all__ = ["HostBeat", "LoadExchange", "decode_beat", "encode_beat"]
+__all__ = ["HostBeat", "HostState", "LoadExchange", "decode_beat", "encode_beat"]
 
 FORMAT = 1
 INTERVAL_MS = 250.0  # Four lost in a row make a host silent.
 SILENT_AFTER_MS = 1_000.0  # Below a caller's timeout for a new connection.
 LEAD_SILENT_AFTER_MS = 600.0  # Two beats; a change may keep a whole group waiting.
+SLOWED_FOR_MS = 300.0  # Beyond a beat; what was said before may be over.
 FORGOTTEN_AFTER_MS = 60_000.0  # A host that is cut off for longer registers again.
 MIN_GAP_MS_PER_PEER = 2.5  # Bounds updates to 400 datagrams a second and host.
 MAX_DATAGRAM_BYTES = 8_192
@@ -52,6 +53,8 @@
         Ranks that are slower than others, as the host that reads their reports knows.
     is_leading : bool
         Whether it tends the rank groups' maps.
+    slowed_services : sequence of str
+        Services whose streams have all at once become slower here.
     """
 
     host: str
@@ -62,6 +65,15 @@
     loads: dict[str, int]
     slowness: dict[str, float]
     is_leading: bool
+    slowed_services: Sequence[str] = ()
+
+
+class HostState(NamedTuple):
+    """What a host tells in its beats of its work; see `HostBeat`."""
+
+    loads: dict[str, int]
+    slowness: dict[str, float]
+    slowed_services: Sequence[str] = ()
 
 
 def encode_beat(beat: HostBeat) -> bytes:
@@ -80,15 +92,17 @@
     """
     try:
         version, *fields = cbor2.loads(data)
-        beat = HostBeat(*fields)
+        # Hosts of a later release may say more, those of an earlier one less.
+        beat = HostBeat(*fields[: len(HostBeat._fields)])
         loads = {str(key): int(n) for key, n in beat.loads.items()}
         slowness = {str(key): float(x) for key, x in beat.slowness.items()}
+        slowed = tuple(map(str, beat.slowed_services))
         is_sound = isinstance(beat.host, str) and isinstance(beat.number, int)
     except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as error:
         raise DecodeError(f"not a beat: {error}") from error
     if version != FORMAT or not is_sound:
         raise DecodeError(f"beat of format {version}")
-    return beat._replace(loads=loads, slowness=slowness)
+    return beat._replace(loads=loads, slowness=slowness, slowed_services=slowed)
 
 
 class _Peer(NamedTuple):
@@ -104,14 +118,12 @@
     ----------
     host, address : str
         This host's name, and where callers reach it.
-    read_loads : callable
-        Returns this host's requests in hand by upstream.
+    read_state : callable
+        Returns what this host has to tell.
     is_serving : callable
         Returns whether callers should be sent here.
     on_change : callable
         Called with the others' requests in hand by upstream.
-    read_slowness : callable
-        Returns the slow ranks that this host has read of.
     on_slowness : callable
         Called with the slow ranks that any host has read of.
     """
@@ -120,18 +132,16 @@
         self,
         host: str,
         address: str,
-        read_loads: Callable[[], dict[str, int]],
+        read_state: Callable[[], HostState],
         is_serving: Callable[[], bool],
         on_change: Callable[[dict[str, float]], None],
-        read_slowness: Callable[[], dict[str, float]] = dict,
         on_slowness: Callable[[dict[str, float]], None] = lambda slowness: None,
     ):
-        self._read_slowness = read_slowness
         self._on_slowness = on_slowness
         self.host = host
         self.start_id = secrets.token_hex(4)
         self._address = address
-        self._read_loads = read_loads
+        self._read_state = read_state
         self._is_serving = is_serving
         self._on_change = on_change
         self._peers: dict[str, _Peer] = {}
@@ -200,15 +210,17 @@
     async def send_now(self) -> None:
         """Send one beat to all others."""
         self._number += 1
+        state = self._read_state()
         beat = HostBeat(
             self.host,
             self.start_id,
             self._number,
             self._address,
             self._is_serving(),
-            self._read_loads(),
-            self._read_slowness(),
+            state.loads,
+            state.slowness,
             self._has_lead,
+            state.slowed_services,
         )
         data = encode_beat(beat)
         for endpoint in list(self._endpoints):
@@ -258,11 +270,16 @@
 
     def slowness(self) -> dict[str, float]:
         """Return the slow ranks that this host or a live other has read of."""
-        total = dict(self._read_slowness())
+        total = dict(self._read_state().slowness)
         for beat in self.live():
             total |= beat.slowness
         return total
 
+    def n_hosts_slowed(self, service: str) -> int:
+        """Return how many hosts just saw a service's streams become slower."""
+        told = [beat.slowed_services for beat in self.live(SLOWED_FOR_MS)]
+        return sum(service in s for s in (*told, self._read_state().slowed_services))
+
     def loads_of_others(self) -> dict[str, float]:
         """Return the requests in hand of all live others by upstream."""
         total: dict[str, float] = {}
--- a/poplarward/direct/map_changes.py
+++ b/poplarward/direct/map_changes.py
@@ -30,7 +30,7 @@
 PREPARE_LIMIT_S = 4.0  # Copies take under a second, a few times that when slowed.
 ARM_LIMIT_S = 0.8  # A rank that is not ready to be armed by then delays the group.
 POLL_S = 0.06
-LEAD_S = 0.12  # Orders to all ranks before the pass is reached.
+LEAD_S = 0.08  # Orders to all ranks before the pass is reached.
 HOLD_TRIES = 3
 MIN_PASS_S = 0.012  # Without a measured pass time: the fastest that is likely.
 SETTLE_ROUNDS = 8
@@ -249,8 +249,12 @@
         self, fresh: GroupView, holder: str, pass_s: float
     ) -> tuple[int, OrderResult]:
         """Hold a pass that the group will reach soon; returns it and the result."""
-        lead_s = REPORT_FRESH_S + LEAD_S
-        step = fresh.step
+        lead_s = LEAD_S
+        # The step that comes with counts is that of now, unlike the reports'.
+        counted = await self._control.counts(holder)
+        if counted is None:
+            lead_s += REPORT_FRESH_S
+        step = fresh.step if counted is None else max(fresh.step, counted[0])
         for _ in range(HOLD_TRIES):
             step += math.ceil(lead_s / max(pass_s, MIN_PASS_S))
             held = await self._order_one(
--- a/poplarward/direct/map_steward.py
+++ b/poplarward/direct/map_steward.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 import trio
 
 from ..coordination.rebalancing.placement import Layer
 from ..telemetry.logs import get_logger
 from .beliefs import Beliefs
+from .load_exchange import LoadExchange
 from .map_changes import GroupView, MapChanges, group_view
 from .map_planner import GroupPlanner
 from .model import EngineProfile
@@ -21,11 +23,18 @@
 
 __all__ = ["MapSteward"]
 
-PACE_POLL_S = 0.05
-MIN_CYCLE_S = 0.25  # Counts of fewer passes say little.
+PACE_POLL_S = 0.03
+SHOWN_WITHIN_S = 0.8  # Reports are some hundred ms old, and the pass has to begin.
+FIRST_LOOK_S = 0.15  # A few passes of a group that had nothing to do.
+MIN_ALERT_GAP_S = 0.5  # A host's mean pause has followed a jump by then.
+N_HOSTS_ALERTED = 2  # One host alone sees few streams, and a long prompt delays them.
+ALERT_LOOK_S = 0.11  # A pass or two of a group that has turned slow.
+ALERT_POLL_S = 0.05
+ALERT_LOOKS = 4
 CYCLE_S = 1.0  # Demand may change every few seconds; each look at it has a price.
 FIRST_CYCLE_S = 0.35  # Until a first map is in force, which matters most.
 N_SAMPLED_RANKS = 4  # Enough requests for the popularity of the hottest experts.
+N_ALERT_RANKS = 8  # Of one or two passes, as many requests take more ranks.
 LEAD_DELAY_S = 0.8  # A former holder that is only slow has ended its change by then.
 MAX_PASS_S = 0.15  # Longer ones come from slow ranks, or from idle times.
 RECENT_PASSES = 40  # Counts since a rank's start are of use for some seconds.
@@ -38,7 +47,8 @@
 class _Group:
     """What is known of one group."""
 
-    def __init__(self, profile: EngineProfile):
+    def __init__(self, service: str, profile: EngineProfile):
+        self.service = service
         self.profile = profile
         self.planner = GroupPlanner(profile)
         self.layers: list[Layer] | None = None
@@ -48,7 +58,23 @@
         self.seen: tuple[int, float] | None = None
         self.n_shifts_seen = 0
         self.is_steady = False
-        self.is_alerted = False
+        self.is_idle = False
+        self.planned_epoch: int | None = None
+        self.changed_at = float("-inf")
+
+    def is_ahead_of(self, view: GroupView) -> bool:
+        """Whether a change was made that the ranks' reports don't show yet."""
+        if trio.current_time() - self.changed_at > SHOWN_WITHIN_S:
+            return False
+        return self.layers_of != (view.epoch, view.map_version)
+
+
+class _Counts(NamedTuple):
+    """What some ranks counted since they were last asked."""
+
+    tokens: list[float]
+    n_passes: int
+    at_step: int
 
 
 class MapSteward:
@@ -58,8 +84,8 @@
     ----------
     beliefs : Beliefs
     control : RankControl
-    is_leading : callable
-        Whether this host is the one to do it.
+    exchange : LoadExchange
+        Tells whether this host is the one to do it, and what the others see.
     rng : random.Random
     on_slowness : callable
         Called when a rank turns slow or ordinary.
@@ -69,17 +95,19 @@
         self,
         beliefs: Beliefs,
         control: RankControl,
-        is_leading: Callable[[], bool],
+        exchange: LoadExchange,
         rng: random.Random,
         on_slowness: Callable[[], None] = lambda: None,
     ):
         self._on_slowness = on_slowness
         self._beliefs = beliefs
         self._control = control
-        self._is_leading = is_leading
+        self._exchange = exchange
         self._rng = rng
         self._groups: dict[str, _Group] = {}
         self._leading_since: float | None = None
+        self._looked_at = float("-inf")
+        self._n_closed = 0
         self._slowness: dict[str, float] = {}
 
     def slowness(self) -> dict[str, float]:
@@ -89,36 +117,43 @@
     async def run(self) -> None:
         """Tend the groups whenever this host is the one to do it."""
         while True:
-            await self._wait_for_next_look()
+            slowed = await self._wait_for_next_look()
             if not self._takes_lead():
                 continue
             for service, profile in self._engines():
-                await self._tend_service(service, profile)
+                await self._tend_service(service, profile, service in slowed)
 
-    async def _wait_for_next_look(self) -> None:
-        """Wait for a cycle, or until the groups turn slower all at once.
+    async def _wait_for_next_look(self) -> list[str]:
+        """Wait for a cycle, or until streams of a service turn slower all at once.
 
-        Demand that has changed shows first in the pauses of the streams that this host
-        relays, which cost nothing to look at.
+        Demand that has changed shows first in the pauses of the streams that the hosts
+        relay, which cost nothing to look at. Returns the services that turned slower.
         """
-        is_steady = all(group.is_steady for group in self._groups.values())
-        waited_s = 0.0
-        while waited_s < (CYCLE_S if is_steady else FIRST_CYCLE_S):
+        groups = self._groups.values()
+        is_steady = self._n_closed == 0 and all(group.is_steady for group in groups)
+        until = trio.current_time() + (CYCLE_S if is_steady else FIRST_CYCLE_S)
+        while (now := trio.current_time()) < until:
             await trio.sleep(PACE_POLL_S)
-            waited_s += PACE_POLL_S
-            if waited_s >= MIN_CYCLE_S and is_steady and self._has_jumped():
-                for group in self._groups.values():
-                    group.is_alerted = True
-                return
-
-    def _has_jumped(self) -> bool:
-        return any(
-            self._beliefs.pace(service).has_jumped() for service, _ in self._engines()
-        )
+            if self._leading_since is None:
+                continue
+            if any(group.is_idle and self._has_work(group.service) for group in groups):
+                await trio.sleep(FIRST_LOOK_S)
+                break
+            if now - self._looked_at >= MIN_ALERT_GAP_S and (slowed := self._slowed()):
+                return slowed
+        return []
+
+    def _slowed(self) -> list[str]:
+        n_needed = min(N_HOSTS_ALERTED, 1 + len(self._exchange.live()))
+        return [
+            service
+            for service, _ in self._engines()
+            if self._exchange.n_hosts_slowed(service) >= n_needed
+        ]
 
     def _takes_lead(self) -> bool:
         """Whether this host tends the groups now."""
-        if not self._is_leading():
+        if not self._exchange.takes_lead():
             if self._leading_since is not None:
                 log.info("maps.lead_lost")
             self._leading_since = None
@@ -145,7 +180,9 @@
             if service.engine is not None and service.engine.n_experts
         ]
 
-    async def _tend_service(self, service: str, profile: EngineProfile) -> None:
+    async def _tend_service(
+        self, service: str, profile: EngineProfile, is_slowed: bool
+    ) -> None:
         reports = await self._reports(
             [u.entry.id for u in self._beliefs.upstreams.of_service(service)]
         )
@@ -154,9 +191,11 @@
         by_group: dict[str, list[RankReport]] = {}
         for report in reports:
             by_group.setdefault(report.group, []).append(report)
+        self._n_closed = 0
         for name, members in by_group.items():
             view = group_view(members)
             if view is None:
+                self._n_closed += 1
                 log.info(
                     "maps.group_not_whole",
                     group=name,
@@ -164,8 +203,15 @@
                     n_open=sum(report.is_open for report in members),
                 )
             else:
-                group = self._groups.setdefault(name, _Group(profile))
-                await self._tend(group, view)
+                group = self._groups.setdefault(name, _Group(service, profile))
+                if not group.is_idle or self._has_work(service):
+                    await self._tend(group, view, is_slowed)
+                group.is_idle = not self._has_work(service)
+
+    def _has_work(self, service: str) -> bool:
+        """Whether any host has requests at a service."""
+        upstreams = self._beliefs.upstreams.of_service(service)
+        return any(u.n_own or u.n_others for u in upstreams)
 
     def _note_slowness(self, report: RankReport) -> None:
         held = self._slowness.pop(report.upstream_id, 1.0)
@@ -192,7 +238,7 @@
                 nursery.start_soon(read, upstream_id)
         return reports
 
-    async def _tend(self, group: _Group, view: GroupView) -> None:
+    async def _tend(self, group: _Group, view: GroupView, is_slowed: bool) -> None:
         ids = [report.upstream_id for report in view.ranks]
 
         async def read_group() -> GroupView | None:
@@ -200,42 +246,47 @@
             return group_view(reports) if len(reports) == len(ids) else None
 
         changes = MapChanges(self._control, read_group, self._rng)
+        if group.is_ahead_of(view):
+            return
         if not await self._know_layers(group, view):
             return
         if not view.is_settled:
             await changes.settle(group.layers)
             return
         self._note_pace(group, view)
-        if not await self._read_counts(group, view) or not self._may_change():
+        is_new = await self._observe(group, view, is_slowed)
+        # A group that forms anew has its first map again, and mostly the same demand.
+        is_planned = group.planned_epoch == view.epoch
+        if not (is_new or not is_planned) or not self._may_change():
             return
         slowness = [report.slowness for report in view.ranks]
         found = group.planner.plan(group.layers, slowness, group.pass_s)
+        group.planned_epoch = view.epoch
+        facts = {
+            "group": view.name,
+            "in_use": view.map_version,
+            "slowed": is_slowed,
+            "n_shifts": group.planner.n_shifts,
+            "pass_ms": round(group.pass_s * 1000, 1),
+        }
         if found is None:
-            log.info(
-                "maps.kept",
-                group=view.name,
-                in_use=view.map_version,
-                n_shifts=group.planner.n_shifts,
-                pass_ms=round(group.pass_s * 1000, 1),
-                steady=group.is_steady,
-            )
+            log.info("maps.kept", **facts, steady=group.is_steady)
             return
         log.info(
             "maps.planned",
-            group=view.name,
-            in_use=view.map_version,
-            n_shifts=group.planner.n_shifts,
+            **facts,
             n_copies=found.n_copies,
             copy_ms=int(found.copy_s * 1000),
-            pass_ms=round(group.pass_s * 1000, 1),
             skew_before=round(found.skew_before, 3),
             skew_after=round(found.skew_after, 3),
         )
         version = await changes.change(
             view, found.layers, group.layers, found.copy_s, group.pass_s
         )
+        self._looked_at = trio.current_time()
         if version is not None:
             group.layers, group.layers_of = found.layers, (view.epoch, version)
+            group.changed_at = trio.current_time()
 
     def _note_pace(self, group: _Group, view: GroupView) -> None:
         now = trio.current_time()
@@ -256,11 +307,17 @@
         if group.layers_of == wanted:
             return True
         rows: dict[int, list[tuple[int, ...]]] = {}
-        for report in view.ranks:
+
+        async def read(report: RankReport) -> None:
             held = await self._control.layers(report.upstream_id)
-            if held is None:
-                return False
-            rows[report.rank] = held
+            if held is not None:
+                rows[report.rank] = held
+
+        async with trio.open_nursery() as nursery:
+            for report in view.ranks:
+                nursery.start_soon(read, report)
+        if len(rows) < len(view.ranks):
+            return False
         group.layers = [
             tuple(rows[rank][layer] for rank in sorted(rows))
             for layer in range(group.profile.n_layers)
@@ -268,18 +325,52 @@
         group.layers_of = wanted
         return True
 
-    async def _read_counts(self, group: _Group, view: GroupView) -> bool:
-        """Read some ranks' counts; returns whether there were new ones."""
-        sampled = view.ranks[:: max(1, len(view.ranks) // N_SAMPLED_RANKS)]
+    async def _observe(self, group: _Group, view: GroupView, is_slowed: bool) -> bool:
+        """Take in what is in demand; returns whether there was anything new.
+
+        What was counted before the streams turned slower says little of the demand
+        that made them so, and is passed over.
+        """
+        if not is_slowed:
+            ranks = _every_nth(view.ranks, N_SAMPLED_RANKS)
+            counts = await self._read_counts(group, ranks)
+        else:
+            ranks = _every_nth(view.ranks, N_ALERT_RANKS)
+            self._looked_at = trio.current_time()
+            await self._read_counts(group, ranks)
+            await trio.sleep(ALERT_LOOK_S)
+            for _ in range(ALERT_LOOKS):
+                if (counts := await self._read_counts(group, ranks)) is not None:
+                    break
+                await trio.sleep(ALERT_POLL_S)
+        if counts is None:
+            return False
+        group.planner.observe(counts.tokens, counts.n_passes, counts.at_step)
+        # Just after demand has changed, the next look is the first clear one.
+        n_shifts = group.planner.n_shifts
+        group.is_steady = n_shifts == group.n_shifts_seen and not is_slowed
+        group.n_shifts_seen = n_shifts
+        return True
+
+    async def _read_counts(
+        self, group: _Group, ranks: Sequence[RankReport]
+    ) -> _Counts | None:
+        """Read some ranks' counts; returns what is new in them, if there is any."""
+        answers: dict[str, tuple[int, list[int]]] = {}
+
+        async def read(upstream_id: str) -> None:
+            answer = await self._control.counts(upstream_id)
+            if answer is not None:
+                answers[upstream_id] = answer
+
+        async with trio.open_nursery() as nursery:
+            for report in ranks:
+                nursery.start_soon(read, report.upstream_id)
         total: list[float] = []
-        n_passes, at_step = 0, view.step
-        for report in sampled:
-            answer = await self._control.counts(report.upstream_id)
-            if answer is None:
-                continue
-            step, counts = answer
-            held_step, held = group.counts.get(report.upstream_id, (0, []))
-            group.counts[report.upstream_id] = step, counts
+        n_passes, at_step = 0, 0
+        for upstream_id, (step, counts) in answers.items():
+            held_step, held = group.counts.get(upstream_id, (0, []))
+            group.counts[upstream_id] = step, counts
             if len(held) == len(counts) and held_step <= step:
                 new = [a - b for a, b in zip(counts, held, strict=True)]
             elif step <= RECENT_PASSES:
@@ -289,12 +380,11 @@
                 continue
             total = [a + b for a, b in zip(total, new, strict=True)] if total else new
             n_passes, at_step = max(n_passes, step - held_step), max(at_step, step)
-        if not total or sum(total) <= 0:
-            return False
-        group.planner.observe(total, n_passes, at_step)
-        # Just after demand has changed, the next look is the first clear one.
-        n_shifts = group.planner.n_shifts
-        group.is_steady = n_shifts == group.n_shifts_seen and not group.is_alerted
-        group.n_shifts_seen = n_shifts
-        group.is_alerted = False
-        return True
+        if n_passes < 1 or sum(total) <= 0:
+            return None
+        return _Counts(total, n_passes, at_step)
+
+
+def _every_nth(ranks: Sequence[RankReport], n_wanted: int) -> Sequence[RankReport]:
+    """Return about so many ranks, spread over all."""
+    return ranks[:: max(1, len(ranks) // n_wanted)]
--- a/poplarward/direct/pace.py
+++ b/poplarward/direct/pace.py
@@ -58,6 +58,11 @@
             return None
         return self._pause_ms
 
+    def highest_ms(self, at_ms: float | None = None) -> float | None:
+        """Return the mean pause, or that of the last passes if it is longer."""
+        mean_ms = self.pause_ms(at_ms)
+        return None if mean_ms is None else max(mean_ms, self._recent_ms)
+
     def has_jumped(self, at_ms: float | None = None) -> bool:
         """Whether the last pauses are clearly longer than those before.
 
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -27,7 +27,7 @@
 from .routing_table import Accepted, Denied, choose_service
 from .streams import EVENT_END, EventSplitter, StreamBroken
 from .upstreams import Upstream
-from .waiting import Placed, Refused
+from .waiting import Placed, Refused, WantedPlace
 
 __all__ = ["Relay"]
 
@@ -221,8 +221,17 @@
         objective_ms = job.route.latency_objective_ms
         on_time_until_ms = job.arrived_at_ms + WAIT_PART * objective_ms
         max_wait_ms = min(WAIT_PART * objective_ms, job.left_ms())
+        # A stream that has begun is only worth something if it goes on.
+        pause_objective_ms = 0.0 if job.splitter else job.route.pause_objective_ms
         return await beliefs.place(
-            job.service, job.priority, on_time_until_ms, max_wait_ms, job.tried
+            job.service,
+            WantedPlace(
+                job.priority,
+                on_time_until_ms,
+                max_wait_ms,
+                pause_objective_ms,
+                job.tried,
+            ),
         )
 
     async def _attempt_at(
@@ -423,7 +432,7 @@
     def _note_pause(self, job: _Job) -> None:
         pause_ms = elapsed_ms(job.last_sent_at_ms)
         job.longest_pause_ms = max(job.longest_pause_ms, pause_ms)
-        self._beliefs.pace(job.service).note(pause_ms)
+        self._beliefs.note_pause(job.service, pause_ms)
 
     async def _time_out(self, job: _Job) -> None:
         """Give the final answer of a request whose time is over."""
--- a/poplarward/direct/waiting.py
+++ b/poplarward/direct/waiting.py
@@ -25,6 +25,7 @@
     "ReturnSchedule",
     "Ticket",
     "WaitingRoom",
+    "WantedPlace",
     "expected_wait_ms",
     "next_ticket",
 ]
@@ -48,39 +49,52 @@
     retry_after_ms: float
 
 
-class Ticket(NamedTuple):
-    """A request that wants a place.
+class WantedPlace(NamedTuple):
+    """What a request asks for.
 
     Attributes
     ----------
-    number : int
-        Rises with each request that waits.
     priority : int
         0 is the most urgent.
     on_time_until_ms : float
         Latest start, as `now_ms`, for an answer that is on time.
+    max_wait_ms : float
+        How long it may wait.
+    pause_objective_ms : float
+        Longest pause between events that is on time; 0 for plain answers, and for
+        streams that are under way.
     tried : collection of str
         Upstreams that it was sent to already.
     """
 
-    number: int
     priority: int
     on_time_until_ms: float
+    max_wait_ms: float
+    pause_objective_ms: float = 0.0
     tried: Collection[str] = ()
 
 
+class Ticket(NamedTuple):
+    """A request that wants a place; ``number`` rises with each that comes."""
+
+    number: int
+    wanted: WantedPlace
+
+
 def next_ticket(tickets: Sequence[Ticket], at_ms: float) -> Ticket:
     """Return the ticket that goes first.
 
     Examples
     --------
-    >>> late, early = Ticket(1, 1, 100.0), Ticket(2, 1, 900.0)
+    >>> late = Ticket(1, WantedPlace(1, 100.0, 50.0))
+    >>> early = Ticket(2, WantedPlace(1, 900.0, 50.0))
     >>> next_ticket([late, early], at_ms=500.0).number
     2
     """
 
     def rank(ticket: Ticket) -> tuple[int, bool, int]:
-        return ticket.priority, ticket.on_time_until_ms < at_ms, ticket.number
+        wanted = ticket.wanted
+        return wanted.priority, wanted.on_time_until_ms < at_ms, ticket.number
 
     return min(tickets, key=rank)
 
@@ -170,27 +184,23 @@
         """Requests that wait now."""
         return len(self._waiters)
 
-    async def place(
-        self,
-        priority: int,
-        on_time_until_ms: float,
-        max_wait_ms: float,
-        tried: Collection[str],
-    ) -> Placed | Refused:
+    async def place(self, wanted: WantedPlace) -> Placed | Refused:
         """Return a place as soon as there is one, or a refusal."""
         at_ms = now_ms()
-        ticket = Ticket(next(self._numbers), priority, on_time_until_ms, tried)
+        ticket = Ticket(next(self._numbers), wanted)
         if not self._waiters:
             upstream_id = self._take_place(ticket)
             if upstream_id is not None:
                 return Placed(upstream_id)
-        n_ahead = sum(w.ticket.priority <= priority for w in self._waiters.values())
+        n_ahead = sum(
+            w.ticket.wanted.priority <= wanted.priority for w in self._waiters.values()
+        )
         freed_per_s = self._freed.per_s(at_ms)
-        if n_ahead and expected_wait_ms(n_ahead, freed_per_s) > max_wait_ms:
+        if n_ahead and expected_wait_ms(n_ahead, freed_per_s) > wanted.max_wait_ms:
             return self._refuse("too many wait for a place")
         waiter = self._waiters[ticket.number] = _Waiter(ticket)
         try:
-            with trio.move_on_after(max_wait_ms / 1000):
+            with trio.move_on_after(wanted.max_wait_ms / 1000):
                 await waiter.placed.wait()
         except trio.Cancelled:
             # The caller has left, perhaps just after a place became free for it.
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -11,7 +11,7 @@
 from ..direct.beliefs import Beliefs, RetryBounds
 from ..direct.clock import now_ms
 from ..direct.following import FeedFollower
-from ..direct.load_exchange import LoadExchange
+from ..direct.load_exchange import HostState, LoadExchange
 from ..direct.map_steward import MapSteward
 from ..direct.ports import FeedChange
 from ..direct.relay import Relay
@@ -106,17 +106,16 @@
         self._exchange = LoadExchange(
             settings.host,
             settings.callers_address,
-            self._beliefs.upstreams.own_loads,
+            self._state_to_tell,
             self.is_serving,
             self._beliefs.upstreams.take_loads_of_others,
-            lambda: self._steward.slowness(),
             self._beliefs.upstreams.take_slowness,
         )
         self._beliefs.on_load_change = self._exchange.note_load
         self._steward = MapSteward(
             self._beliefs,
             PlatformRankControl(self._beliefs.upstreams),
-            self._exchange.takes_lead,
+            self._exchange,
             rng,
             self._share_slowness,
         )
@@ -184,6 +183,13 @@
     def _count_hosts(self) -> int:
         return 1 + len(self._exchange.live())
 
+    def _state_to_tell(self) -> HostState:
+        return HostState(
+            self._beliefs.upstreams.own_loads(),
+            self._steward.slowness(),
+            self._beliefs.slowed_services(),
+        )
+
     def _share_slowness(self) -> None:
         self._beliefs.upstreams.take_slowness(self._exchange.slowness())
         self._exchange.note_load()
--- a/tests/direct/simulated_group.py
+++ b/tests/direct/simulated_group.py
@@ -119,6 +119,10 @@
         await trio.sleep(0.002)
         return self.lagged_reports()[int(upstream_id[1:])]
 
+    async def counts(self, upstream_id):
+        await trio.sleep(0.002)
+        return self.step, []
+
     async def prepare(self, upstream_id, epoch, version, layers):
         def carry_out(rank):
             if version <= rank.greatest or rank.armed is not None:
--- /dev/null
+++ b/tests/direct/test_batch_limit.py
@@ -0,0 +1,140 @@
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from poplarward.direct.batch_limit import max_running
+from poplarward.direct.beliefs import Beliefs, RetryBounds
+from poplarward.direct.model import EngineProfile, Service, UpstreamEntry
+from poplarward.direct.waiting import Placed, Refused, WantedPlace
+from tests.direct.relay_path import configuration
+
+N_RANKS = 16
+N_SLOTS = 6
+OBJECTIVE_MS = 120.0
+FIXED_MS = 29.0
+PER_REQUEST_MS = 0.27  # Of a pass, when experts are evenly loaded.
+ARRIVALS_PER_S = 55.0
+EVENTS = 26
+SHIFT_AT_MS = 3_000.0
+SHIFT_MS = 1_500.0  # Until the next map is in force.
+SKEW = 4.0
+
+ENGINE = EngineProfile(
+    n_slots=N_SLOTS,
+    kv_tokens=247_000,
+    step_ms=4.84,
+    per_sequence_ms=0.7,
+    context_ms_per_k_tokens=0.02,
+    read_tokens_per_s=74_800.0,
+    steps_per_pass=6,
+    report_lag_ms=200.0,
+    mean_prompt_tokens=835.0,
+    mean_answer_tokens=159.0,
+    n_layers=4,
+    n_experts=64,
+    n_places=5,
+    n_spare=2,
+    expert_mb=2_500.0,
+    link_mbps=180_000.0,
+    expert_share=0.85,
+)
+
+
+class Day(NamedTuple):
+    """Streams of a replayed day."""
+
+    n_on_time: int
+    n_late: int
+    n_sent_away: int
+
+
+def replay(is_limited):
+    """Play steady arrivals through a shift of demand that makes passes longer."""
+    rng = random.Random(7)
+    running = []  # Pairs: events left, longest pause.
+    n_on_time = n_late = n_sent_away = 0
+    at_ms, next_arrival_ms, pause_ms = 0.0, 0.0, None
+    while at_ms < 10_000.0:
+        while next_arrival_ms <= at_ms:
+            next_arrival_ms += rng.expovariate(ARRIVALS_PER_S) * 1_000
+            limit = N_RANKS * N_SLOTS
+            if is_limited:
+                limit = min(
+                    limit,
+                    max_running(
+                        len(running), N_RANKS, pause_ms, FIXED_MS, OBJECTIVE_MS
+                    ),
+                )
+            if len(running) < limit:
+                running.append([EVENTS, 0.0])
+            else:
+                n_sent_away += 1
+        is_shifted = SHIFT_AT_MS <= at_ms < SHIFT_AT_MS + SHIFT_MS
+        skew = SKEW if is_shifted else 1.0
+        pause_ms = FIXED_MS + PER_REQUEST_MS * skew * len(running)
+        at_ms += pause_ms
+        for stream in running:
+            stream[0] -= 1
+            stream[1] = max(stream[1], pause_ms)
+        for n_left, longest_ms in running:
+            if n_left == 0:
+                n_on_time += longest_ms <= OBJECTIVE_MS
+                n_late += longest_ms > OBJECTIVE_MS
+        running = [stream for stream in running if stream[0]]
+    return Day(n_on_time, n_late, n_sent_away)
+
+
+def test_shift_of_demand_makes_no_stream_late():
+    unlimited, limited = replay(is_limited=False), replay(is_limited=True)
+    assert unlimited.n_late > 40
+    assert limited.n_late == 0
+    # Those that are sent away are fewer than those that would have been late.
+    assert limited.n_sent_away < unlimited.n_late
+    assert limited.n_on_time > unlimited.n_on_time
+
+
+def test_limit_leaves_one_request_a_rank():
+    assert max_running(1, N_RANKS, 900.0, FIXED_MS, OBJECTIVE_MS) == N_RANKS
+
+
+def test_objective_that_can_not_be_met_limits_nothing():
+    """A rank ten times slower makes even empty passes longer than the objective."""
+    assert max_running(60, N_RANKS, 500.0, 10 * FIXED_MS, OBJECTIVE_MS) == float("inf")
+    assert max_running(60, N_RANKS, None, FIXED_MS, OBJECTIVE_MS) == float("inf")
+
+
+def _beliefs(n_running):
+    beliefs = Beliefs(
+        1_000.0,
+        lambda: 0.0,
+        RetryBounds(0.2, 10.0, 10.0, lambda: 1),
+        random.Random(1),
+    )
+    declared = configuration()
+    beliefs.take_configuration(
+        declared._replace(services={"llm": Service("llm", 100, ENGINE)})
+    )
+    for n in range(N_RANKS):
+        beliefs.upstreams.put(
+            UpstreamEntry(f"u{n}", "llm", f"127.0.0.1:{n + 1}", "a", N_SLOTS, False, 1)
+        )
+    beliefs.upstreams.take_loads_of_others(
+        {f"u{n}": n_running / N_RANKS for n in range(N_RANKS)}
+    )
+    return beliefs
+
+
+async def _place(beliefs, pause_objective_ms):
+    return await beliefs.place(
+        "llm", WantedPlace(1, 0.0, 10.0, pause_objective_ms=pause_objective_ms)
+    )
+
+
+async def test_streams_get_no_place_while_passes_are_too_long():
+    beliefs = _beliefs(n_running=64)
+    assert isinstance(await _place(beliefs, OBJECTIVE_MS), Placed)
+    beliefs.note_pause("llm", 119.0)
+    assert isinstance(await _place(beliefs, OBJECTIVE_MS), Refused)
+    # One that goes on after a failure, or a plain call, is not held back.
+    assert isinstance(await _place(beliefs, 0.0), Placed)
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -9,6 +9,7 @@
 
 from poplarward.direct.load_exchange import (
     HostBeat,
+    HostState,
     LoadExchange,
     decode_beat,
     encode_beat,
@@ -24,6 +25,7 @@
     Refused,
     ReturnSchedule,
     WaitingRoom,
+    WantedPlace,
 )
 from poplarward.errors import DecodeError
 from tests.direct.relay_path import ROUTES, configuration, event, route
@@ -136,7 +138,7 @@
     places = Places(0)
     room = WaitingRoom(places.take, places.give_back)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(room.place, 1, 1e12, 5_000.0, ())
+        nursery.start_soon(room.place, WantedPlace(1, 1e12, 5_000.0))
         await trio.testing.wait_all_tasks_blocked()
         nursery.cancel_scope.cancel()
         places.n_free += 1
@@ -152,7 +154,7 @@
     far = 1e12
 
     async def wait(name, priority, on_time_until_ms):
-        placed = await room.place(priority, on_time_until_ms, 5_000.0, ())
+        placed = await room.place(WantedPlace(priority, on_time_until_ms, 5_000.0))
         assert isinstance(placed, Placed)
         order.append(name)
 
@@ -180,7 +182,7 @@
     results = []
 
     async def call():
-        results.append(await room.place(1, 1e12, 500.0, ()))
+        results.append(await room.place(WantedPlace(1, 1e12, 500.0)))
 
     async with trio.open_nursery() as nursery:
         for _ in range(16):
@@ -282,7 +284,11 @@
 
     def start(self, name):
         self.exchanges[name] = LoadExchange(
-            name, name, dict, lambda: name in self.serving, lambda loads: None
+            name,
+            name,
+            lambda: HostState({}, {}),
+            lambda: name in self.serving,
+            lambda loads: None,
         )
 
     def beat(self):
