Tell callers of a closed rank group to return late; never limit below half of the places

The batch limit could fall to one request a rank, where passes are mostly their fixed time and refusing serves nobody. Change: 2.5 s instead of 0.7; the limit is at least half of the places.

--- a/poplarward/direct/batch_limit.py
+++ b/poplarward/direct/batch_limit.py
@@ -12,12 +12,12 @@
 __all__ = ["max_running"]
 
 OBJECTIVE_PART = 0.9  # Passes differ by a prompt or two that are read in between.
-MIN_PER_RANK = 1.0  # Below it a pass consists of its fixed time.
+MIN_FILL = 0.5  # Of all places; with fewer taken a pass is mostly its fixed time.
 
 
 def max_running(
     n_running: float,
-    n_ranks: int,
+    n_places: int,
     pause_ms: float | None,
     fixed_ms: float,
     objective_ms: float,
@@ -30,7 +30,8 @@
     ----------
     n_running : float
         Requests that run now, on all ranks.
-    n_ranks : int
+    n_places : int
+        Requests that fit on all ranks.
     pause_ms : float or None
         Pause between events now, None if it is not known.
     fixed_ms : float
@@ -46,14 +47,14 @@
 
     Examples
     --------
-    >>> round(max_running(60, 16, pause_ms=90.0, fixed_ms=30.0, objective_ms=120.0))
+    >>> round(max_running(60, 96, pause_ms=90.0, fixed_ms=30.0, objective_ms=120.0))
     78
-    >>> round(max_running(80, 16, pause_ms=150.0, fixed_ms=30.0, objective_ms=120.0))
+    >>> round(max_running(80, 96, pause_ms=150.0, fixed_ms=30.0, objective_ms=120.0))
     52
-    >>> max_running(80, 16, pause_ms=400.0, fixed_ms=300.0, objective_ms=120.0)
+    >>> max_running(80, 96, pause_ms=400.0, fixed_ms=300.0, objective_ms=120.0)
     inf
     """
     room_ms = OBJECTIVE_PART * objective_ms - fixed_ms
     if pause_ms is None or pause_ms <= fixed_ms or room_ms <= 0:
         return float("inf")
-    return max(MIN_PER_RANK * n_ranks, n_running * room_ms / (pause_ms - fixed_ms))
+    return max(MIN_FILL * n_places, n_running * room_ms / (pause_ms - fixed_ms))
--- a/poplarward/direct/beliefs.py
+++ b/poplarward/direct/beliefs.py
@@ -21,7 +21,8 @@
 
 ENGINE_MAX_FILL = 1.0  # A request that waits at a rank can't go to a freer one.
 PLAIN_MAX_FILL = 2.0  # Plain services have short queues of their own.
-GROUP_PAUSE_MS = 700.0  # About the time in which a rank group forms anew.
+GROUP_PAUSE_MS = 700.0  # A request that tries a closed group costs a call or two.
+GROUP_RETURN_MS = 2_500.0  # Crashed ranks are away for seconds; callers return once.
 NO_UPSTREAM_RETRY_MS = 500.0  # Registrations return within about two seconds.
 
 log = get_logger("beliefs")
@@ -183,7 +184,7 @@
         closed_ms = self._group_closed_until_ms.get(service, at_ms) - at_ms
         room = self._room(service)
         if closed_ms > 0:
-            return room.refuse_until("its rank group is not open", closed_ms)
+            return room.refuse_until("its rank group is not open", GROUP_RETURN_MS)
         if not self.upstreams.candidates(service, at_ms):
             return_ms = self.upstreams.next_return_ms(service, at_ms)
             return room.refuse_until(
@@ -214,7 +215,7 @@
         if until_ms > self._group_closed_until_ms.get(service, 0.0) + GROUP_PAUSE_MS:
             log.warning("group.closed", service=service, upstream=upstream_id)
         self._group_closed_until_ms[service] = until_ms
-        return GROUP_PAUSE_MS
+        return GROUP_RETURN_MS
 
     def _room(self, service: str) -> WaitingRoom:
         room = self._rooms.get(service)
@@ -232,10 +233,11 @@
         objective_ms = ticket.wanted.pause_objective_ms
         if engine is not None and objective_ms > 0:
             n_running = sum(candidate.n_in_hand for candidate in candidates)
+            n_places = sum(candidate.n_slots for candidate in candidates)
             fixed_ms = _fixed_pass_ms(engine, candidates)
             pause_ms = self.pace(service).highest_ms()
             if n_running >= max_running(
-                n_running, len(candidates), pause_ms, fixed_ms, objective_ms
+                n_running, n_places, pause_ms, fixed_ms, objective_ms
             ):
                 return None
         chosen = choose_upstream(
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -121,6 +121,23 @@
     assert answer.status == 502
 
 
+async def test_callers_of_a_closed_rank_group_are_told_to_return_late():
+    """A rank has crashed; the group is away for longer than callers keep trying."""
+
+    async def group_waits(stream, request):
+        await stream.send_all(
+            b"HTTP/1.1 503 x\r\nContent-Length: 0\r\nPoplarward-Not-Run: 1\r\n"
+            b"Poplarward-Request-Id: r-1\r\nAt-Server: u9\r\n\r\n"
+        )
+
+    upstream = Upstream(group_waits)
+    async with open_path(upstream) as path:
+        answers = [await path.call("/write/1", "POST", b"x") for _ in range(2)]
+    assert [answer.status for answer in answers] == [503, 503]
+    assert all(float(answer.headers["retry-after"]) >= 2.0 for answer in answers)
+    assert len(upstream.seen) == 1
+
+
 async def test_leaving_upstream_gets_nothing():
     leaving, staying = Upstream(), Upstream()
     async with open_path(leaving, staying) as path:
