Send calls that may not be repeated on connections just used, or new ones

Change: Http1Pool.take leaves connections idle for over 0.3 s to others. Test: test_call_that_may_not_be_repeated_avoids_a_connection_long_idle, red with the bound taken out; the stand-in of take in another test passes its argument on.

--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -36,6 +36,7 @@
 FIRST_TRY_PART = 0.5  # Part of the timeout after which a silent upstream is given up.
 TIMEOUT_LEAD_MS = 30.0  # The final answer has to be on its way by the timeout.
 SLOW_RETRY_AFTER_MS = 2_500.0  # About the longest that callers wait to return.
+ONCE_MAX_IDLE_S = 0.3  # Upstreams drop idle connections after seconds at the least.
 MAX_FOREIGN_ANSWERS = 3  # Late answers to earlier requests that are read past.
 
 log = get_logger("relay")
@@ -252,7 +253,7 @@
         self, job: _Job, upstream: Upstream
     ) -> _Answered | _Unusable | Failure:
         try:
-            connection = await upstream.pool.take()
+            connection = await upstream.pool.take(_max_idle_s(job.route))
         except UpstreamUnreachable as error:
             upstream.note_unreachable(now_ms())
             return _not_sent(str(error))
@@ -466,6 +467,15 @@
         await exchange.respond(status, headers, b"")
 
 
+def _max_idle_s(route: Route) -> float:
+    """Return how long a connection may have been idle that a request is sent on.
+
+    What is sent on one that the upstream has dropped is lost, and then a request that
+    may not run again can't be sent elsewhere.
+    """
+    return float("inf") if route.may_run_again else ONCE_MAX_IDLE_S
+
+
 def _not_sent(reason: str, is_final: bool = False) -> Failure:
     """Return the failure of an attempt that no upstream has seen."""
     return Failure(Outcome.NOT_RUN, reason, 503, 0.0, is_final, is_planned=True)
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -62,6 +62,7 @@
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._idle_since = 0.0
         self._idle_until = 0.0
         self._keep_s = DEFAULT_KEEP_S
 
@@ -149,8 +150,13 @@
         if self._h11.our_state is h11.DONE:
             self._h11.start_next_cycle()
         self._request = None
+        self._idle_since = now_s
         self._idle_until = now_s + self._keep_s
 
+    def was_used_within(self, max_idle_s: float, now_s: float) -> bool:
+        """Whether an idle connection has been so for at most some time."""
+        return now_s - self._idle_since <= max_idle_s
+
     def is_fresh(self, now_s: float) -> bool:
         """Whether an idle connection is within its time and silent."""
         return now_s < self._idle_until and not _has_bytes(self._stream)
@@ -197,11 +203,18 @@
         self._is_closed = False
         self._idle: deque[Http1Connection] = deque()
 
-    async def take(self) -> Http1Connection:
-        """Return an idle connection, or a new one."""
+    async def take(self, max_idle_s: float = float("inf")) -> Http1Connection:
+        """Return an idle connection, or a new one.
+
+        Connections that were idle for longer than `max_idle_s` are left to others: a
+        peer may have dropped them without a word.
+        """
         while self._idle:
+            now = trio.current_time()
+            if not self._idle[-1].was_used_within(max_idle_s, now):
+                break
             connection = self._idle.pop()
-            if connection.is_fresh(trio.current_time()):
+            if connection.is_fresh(now):
                 return connection
             await connection.close()
         return await self._open()
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from poplarward.direct.relay import ONCE_MAX_IDLE_S
 from tests.direct.relay_path import (
     STAMP,
     Upstream,
@@ -184,6 +185,21 @@
     assert upstream.n_connections == 2
 
 
+async def test_call_that_may_not_be_repeated_avoids_a_connection_long_idle():
+    """An upstream may have dropped it without a word; what is sent is lost."""
+    upstream = Upstream()
+    async with open_path(upstream) as path:
+        assert (await path.call("/read/1")).status == 200
+        await trio.sleep(ONCE_MAX_IDLE_S + 0.1)
+        assert (await path.call("/pay/1", "POST", b"x")).status == 200
+        assert upstream.n_connections == 2
+        # Just used, it is taken again; and a call that may be repeated takes any.
+        assert (await path.call("/pay/1", "POST", b"x")).status == 200
+        await trio.sleep(ONCE_MAX_IDLE_S + 0.1)
+        assert (await path.call("/read/1")).status == 200
+        assert upstream.n_connections == 2
+
+
 async def test_success_without_the_upstreams_mark_is_no_success():
     async def unmarked(stream, request):
         await stream.send_all(response(request))
@@ -328,8 +344,8 @@
         pool = path.beliefs.upstreams.get("u0").pool
         take = pool.take
 
-        async def take_slowly():
-            connection = await take()
+        async def take_slowly(max_idle_s):
+            connection = await take(max_idle_s)
             path.age_ms = 5_000.0  # The host was suspended meanwhile.
             return connection
 
