Leave room for shifts of demand, and look sooner after restarts and while strained

The returning callers filled the group meanwhile; passes of a full group took 147 ms as soon as demand shifted, and all its streams were late until they ended. Full without a shift they took 83 ms. Change: a new holder reads counts at once and waits only for a holder it has heard; max_running_before_shift leaves room for passes on a map made for another demand; copies are spread over the ranks, so that the busiest ends sooner; looks are more frequent while pauses are long. Ruled out: fewer new experts a rank and layer (366 and 370 ms of copies: the sum over layers binds). Tests: test_map_steward (lead), test_batch_limit (full group), each red without.

--- a/poplarward/coordination/rebalancing/planner.py
+++ b/poplarward/coordination/rebalancing/planner.py
@@ -151,9 +151,15 @@
         ]
         due.sort(key=lambda index: -excess[index])
         bundles = []
+        n_received = [0] * n_ranks
         for index in due[:MAX_LAYERS_PER_PLAN]:
             search = LayerSearch(
-                index, layers[index], loads[index], slowness, self._max_new_per_rank
+                index,
+                layers[index],
+                loads[index],
+                slowness,
+                self._max_new_per_rank,
+                n_received,
             )
             bundle = _best_bundle(search, step_work, value, price)
             if bundle is None:
@@ -161,6 +167,8 @@
             else:
                 self._excess_without_plan.pop(index, None)
                 bundles.append(bundle)
+                for move in bundle.moves:
+                    n_received[move.rank] += 1
         return self._choose(layers, bundles, value, unreachable_ranks)
 
     def _price_of_move(self, n_ranks: int) -> float:
--- a/poplarward/coordination/rebalancing/search.py
+++ b/poplarward/coordination/rebalancing/search.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from .placement import Layer, Move, replica_counts
@@ -11,6 +11,7 @@
 __all__ = ["LayerSearch", "MoveStep"]
 
 N_TARGET_RANKS = 2
+RECEIVED_WEIGHT = 0.6  # Of the mean work, for each expert that a rank has to copy.
 PENALTY_POWER = 8
 MIN_PENALTY_DECREASE = 1e-6
 
@@ -57,6 +58,10 @@
         Each rank's time for a token over that of an ordinary rank.
     max_new_per_rank : int, optional
         Experts that a rank may get; None without a bound.
+    n_received : sequence of int, optional
+        Experts that each rank gets in other layers of the same plan. A plan is in
+        force once the rank with most of them has its copies, so ranks with fewer are
+        preferred.
 
     Attributes
     ----------
@@ -71,7 +76,9 @@
         loads: Sequence[float],
         slowness: Sequence[float],
         max_new_per_rank: int | None = None,
+        n_received: Sequence[int] | None = None,
     ):
+        self._n_received = n_received or [0] * len(layer)
         self._max_new_per_rank = max_new_per_rank
         self._index = index
         self._first = layer
@@ -99,17 +106,23 @@
         """Make the best change; returns None if no candidate is an improvement."""
         if self.mean_work <= 0:
             return None
+        best = self._best_change(self._target_cost)
+        if best is None and any(self._n_received):
+            best = self._best_change(self.work.__getitem__)
+        if best is None:
+            return None
+        self._apply(best)
+        return MoveStep(self._moves(), max(self.work))
+
+    def _best_change(self, target_cost: Callable[[int], float]) -> _Change | None:
         best, best_rate = None, -MIN_PENALTY_DECREASE
-        for change in self._candidates():
+        for change in self._candidates(target_cost):
             if not self._is_within_bound(change):
                 continue
             rate = self._penalty_change(change) / len(change.slots)
             if rate < best_rate:
                 best, best_rate = change, rate
-        if best is None:
-            return None
-        self._apply(best)
-        return MoveStep(self._moves(), max(self.work))
+        return best
 
     def _moves(self) -> tuple[Move, ...]:
         return tuple(
@@ -130,10 +143,10 @@
                 return False
         return True
 
-    def _candidates(self) -> list[_Change]:
+    def _candidates(self, target_cost: Callable[[int], float]) -> list[_Change]:
         busiest = max(range(len(self.work)), key=self.work.__getitem__)
         targets = heapq.nsmallest(
-            N_TARGET_RANKS, range(len(self.work)), key=self.work.__getitem__
+            N_TARGET_RANKS, range(len(self.work)), key=target_cost
         )
         changes = []
         for slot, expert in enumerate(self._rows[busiest]):
@@ -147,6 +160,10 @@
                         changes.append(self._swap(busiest, slot, target, target_slot))
         return changes
 
+    def _target_cost(self, rank: int) -> float:
+        received = RECEIVED_WEIGHT * self.mean_work * self._n_received[rank]
+        return self.work[rank] + received
+
     def _can_swap(self, expert: int, busiest: int, other: int) -> bool:
         cheaper = self._units[other] < self._units[expert]
         return cheaper and busiest not in self._holders[other]
--- a/poplarward/direct/batch_limit.py
+++ b/poplarward/direct/batch_limit.py
@@ -4,15 +4,20 @@
 a rank group takes twice its time or more. Streams end later, new ones keep coming, and
 with each of them the passes get longer, until every stream's pauses are over their
 objective. With fewer at once the passes stay short enough: those that run are on time,
-and only those beyond have to come back.
+and only those beyond have to come back. What runs already when demand shifts can't be
+taken back, so a group that is full then is late for as long as its streams last; room
+for a shift is left beforehand.
 """
 
 from __future__ import annotations
 
-__all__ = ["max_running"]
+from .model import EngineProfile
+
+__all__ = ["max_running", "max_running_before_shift"]
 
 OBJECTIVE_PART = 0.9  # Passes differ by a prompt or two that are read in between.
 MIN_FILL = 0.5  # Of all places; with fewer taken a pass is mostly its fixed time.
+SHIFTED_SKEW = 4.0  # Busiest rank over the mean on a map made for another demand.
 
 
 def max_running(
@@ -58,3 +63,34 @@
     if pause_ms is None or pause_ms <= fixed_ms or room_ms <= 0:
         return float("inf")
     return max(MIN_FILL * n_places, n_running * room_ms / (pause_ms - fixed_ms))
+
+
+def max_running_before_shift(
+    engine: EngineProfile, n_ranks: int, n_places: int, objective_ms: float
+) -> float:
+    """Return how many may run so that a shift of demand makes no pass too long.
+
+    The time that a request adds to its rank's passes follows from the engine's
+    published figures: its tokens, their context, and its part of reading prompts. The
+    experts' share of it grows with the skew.
+
+    Parameters
+    ----------
+    engine : EngineProfile
+    n_ranks, n_places : int
+        Ranks of the group, and requests that fit on all of them.
+    objective_ms : float
+        Longest pause that is on time.
+    """
+    n_steps = engine.steps_per_pass
+    passes = max(1.0, engine.mean_answer_tokens / n_steps)
+    mean_context = engine.mean_prompt_tokens + engine.mean_answer_tokens / 2
+    write_ms = engine.per_sequence_ms
+    write_ms += engine.context_ms_per_k_tokens * mean_context / 1000
+    read_ms = 1000 * engine.mean_prompt_tokens / engine.read_tokens_per_s / passes
+    skew_factor = 1 + engine.expert_share * (SHIFTED_SKEW - 1)
+    request_ms = (write_ms * n_steps + read_ms) * skew_factor
+    room_ms = OBJECTIVE_PART * objective_ms - engine.step_ms * n_steps
+    if room_ms <= 0 or request_ms <= 0:
+        return float("inf")
+    return max(MIN_FILL * n_places, n_ranks * room_ms / request_ms)
--- a/poplarward/direct/beliefs.py
+++ b/poplarward/direct/beliefs.py
@@ -7,7 +7,7 @@
 
 from ..telemetry.logs import get_logger
 from ..transport.http1_server import CallerLimits
-from .batch_limit import max_running
+from .batch_limit import max_running, max_running_before_shift
 from .clock import now_ms
 from .model import Configuration, EngineProfile, Service
 from .pace import Pace, can_end_in_time
@@ -158,6 +158,17 @@
         """Return a service's declaration."""
         return self.table.configuration.services.get(name) if self.table else None
 
+    def pause_objective_ms(self, service: str) -> float:
+        """Return the shortest of the pauses' objectives of a service's routes."""
+        routes = self.table.configuration.routes if self.table else ()
+        objectives = [
+            route.pause_objective_ms
+            for route in routes
+            if route.pause_objective_ms > 0
+            and any(target.service == service for target in route.targets)
+        ]
+        return min(objectives, default=0.0)
+
     def pace(self, service: str) -> Pace:
         """Return the pauses between a service's events, as seen here."""
         return self._paces.setdefault(service, Pace())
@@ -233,12 +244,8 @@
         objective_ms = ticket.wanted.pause_objective_ms
         if engine is not None and objective_ms > 0:
             n_running = sum(candidate.n_in_hand for candidate in candidates)
-            n_places = sum(candidate.n_slots for candidate in candidates)
-            fixed_ms = _fixed_pass_ms(engine, candidates)
             pause_ms = self.pace(service).highest_ms()
-            if n_running >= max_running(
-                n_running, n_places, pause_ms, fixed_ms, objective_ms
-            ):
+            if n_running >= _most_running(engine, candidates, pause_ms, objective_ms):
                 return None
         chosen = choose_upstream(
             candidates,
@@ -263,10 +270,21 @@
             room.wake()
 
 
-def _fixed_pass_ms(engine: EngineProfile, ranks: Sequence[Candidate]) -> float:
-    """Return the time of a pass of a group without requests."""
+def _most_running(
+    engine: EngineProfile,
+    ranks: Sequence[Candidate],
+    pause_ms: float | None,
+    objective_ms: float,
+) -> float:
+    """Return how many streams may run at once on a service's ranks."""
+    n_running = sum(rank.n_in_hand for rank in ranks)
+    n_places = sum(rank.n_slots for rank in ranks)
     slowest = max((rank.slowness for rank in ranks), default=1.0)
-    return engine.step_ms * engine.steps_per_pass * slowest
+    fixed_ms = engine.step_ms * engine.steps_per_pass * slowest
+    return min(
+        max_running(n_running, n_places, pause_ms, fixed_ms, objective_ms),
+        max_running_before_shift(engine, len(ranks), n_places, objective_ms),
+    )
 
 
 def _base_load(engine: EngineProfile | None) -> float:
--- a/poplarward/direct/load_exchange.py
+++ b/poplarward/direct/load_exchange.py
@@ -149,6 +149,7 @@
         self._endpoints: set[tuple[str, int]] = set()
         self._number = 0
         self._has_lead = False
+        self._other_led_at_ms = float("-inf")
         self._socket: trio.socket.SocketType | None = None
         self._load_changed = trio.Event()
 
@@ -201,6 +202,10 @@
         self._has_lead = all(self.host < name for name in rivals)
         return self._has_lead
 
+    def ms_since_other_led(self) -> float:
+        """Return how long ago another host last said that it has the lead."""
+        return elapsed_ms(self._other_led_at_ms)
+
     async def run(self) -> None:
         """Send and receive beats until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -262,6 +267,8 @@
             log.info("hosts.heard", peer=beat.host, serving=beat.is_serving)
             self._silent.discard(beat.host)
         self._endpoints.add(endpoint)
+        if beat.is_leading:
+            self._other_led_at_ms = now_ms()
         self._peers[beat.host] = _Peer(beat, endpoint, now_ms())
         if held is None or held.beat.loads != beat.loads:
             self._on_change(self.loads_of_others())
--- a/poplarward/direct/map_steward.py
+++ b/poplarward/direct/map_steward.py
@@ -33,9 +33,12 @@
 ALERT_LOOKS = 4
 CYCLE_S = 1.0  # Demand may change every few seconds; each look at it has a price.
 FIRST_CYCLE_S = 0.35  # Until a first map is in force, which matters most.
+STRAINED_PART = 0.6  # Of the pauses' objective; a shift now may make all streams late.
 N_SAMPLED_RANKS = 4  # Enough requests for the popularity of the hottest experts.
 N_ALERT_RANKS = 8  # Of one or two passes, as many requests take more ranks.
-LEAD_DELAY_S = 0.8  # A former holder that is only slow has ended its change by then.
+LEAD_POLL_S = 0.2  # A group may be held, or on its first map, while nobody leads.
+LEAD_SETTLE_S = 0.3  # Beats of all hosts that live have come by then.
+OTHER_LED_MS = 1_000.0  # A holder that is only slow has ended its change by then.
 MAX_PASS_S = 0.15  # Longer ones come from slow ranks, or from idle times.
 RECENT_PASSES = 40  # Counts since a rank's start are of use for some seconds.
 MIN_SLOWNESS = 1.1  # Smaller differences change no choice.
@@ -129,19 +132,31 @@
         Demand that has changed shows first in the pauses of the streams that the hosts
         relay, which cost nothing to look at. Returns the services that turned slower.
         """
+        if self._leading_since is None:
+            await trio.sleep(LEAD_POLL_S)
+            return []
         groups = self._groups.values()
         is_steady = self._n_closed == 0 and all(group.is_steady for group in groups)
-        until = trio.current_time() + (CYCLE_S if is_steady else FIRST_CYCLE_S)
-        while (now := trio.current_time()) < until:
+        began_at = trio.current_time()
+        while True:
             await trio.sleep(PACE_POLL_S)
-            if self._leading_since is None:
-                continue
             if any(group.is_idle and self._has_work(group.service) for group in groups):
                 await trio.sleep(FIRST_LOOK_S)
-                break
+                return []
+            now = trio.current_time()
             if now - self._looked_at >= MIN_ALERT_GAP_S and (slowed := self._slowed()):
                 return slowed
-        return []
+            is_calm = is_steady and not any(
+                self._is_strained(group.service) for group in groups
+            )
+            if now - began_at >= (CYCLE_S if is_calm else FIRST_CYCLE_S):
+                return []
+
+    def _is_strained(self, service: str) -> bool:
+        """Whether a service's streams have pauses not far below their objective."""
+        pause_ms = self._beliefs.pace(service).highest_ms()
+        objective_ms = self._beliefs.pause_objective_ms(service)
+        return pause_ms is not None and pause_ms > STRAINED_PART * objective_ms > 0
 
     def _slowed(self) -> list[str]:
         n_needed = min(N_HOSTS_ALERTED, 1 + len(self._exchange.live()))
@@ -168,7 +183,9 @@
     def _may_change(self) -> bool:
         """Whether a former holder of the lead has surely heard that it is not."""
         since = self._leading_since
-        return since is not None and trio.current_time() - since >= LEAD_DELAY_S
+        if since is None or trio.current_time() - since < LEAD_SETTLE_S:
+            return False
+        return self._exchange.ms_since_other_led() >= OTHER_LED_MS
 
     def _engines(self) -> list[tuple[str, EngineProfile]]:
         table = self._beliefs.table
--- a/tests/direct/test_batch_limit.py
+++ b/tests/direct/test_batch_limit.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-from poplarward.direct.batch_limit import max_running
+from poplarward.direct.batch_limit import max_running, max_running_before_shift
 from poplarward.direct.beliefs import Beliefs, RetryBounds
 from poplarward.direct.model import EngineProfile, Service, UpstreamEntry
 from poplarward.direct.waiting import Placed, Refused, WantedPlace
@@ -15,6 +15,7 @@
 OBJECTIVE_MS = 120.0
 FIXED_MS = 29.0
 PER_REQUEST_MS = 0.27  # Of a pass, when experts are evenly loaded.
+RANK_REQUEST_MS = 5.3  # Of its rank; from passes of 147 ms, all taken, skew 4.2.
 ARRIVALS_PER_S = 55.0
 EVENTS = 26
 SHIFT_AT_MS = 3_000.0
@@ -42,6 +43,21 @@
 )
 
 
+def test_group_that_is_full_when_demand_shifts_is_not_late():
+    """A backlog fills the group; the shift comes before any of it has ended."""
+    most = max_running_before_shift(ENGINE, N_RANKS, N_PLACES, OBJECTIVE_MS)
+
+    def pass_ms(n_running, skew):
+        work_ms = n_running / N_RANKS * RANK_REQUEST_MS
+        return FIXED_MS + work_ms * (1 + ENGINE.expert_share * (skew - 1))
+
+    assert pass_ms(N_PLACES, SKEW) > OBJECTIVE_MS
+    assert pass_ms(most, SKEW) <= OBJECTIVE_MS
+    # What is left to run is enough for most of the answers of a full group.
+    full, limited = N_PLACES / pass_ms(N_PLACES, 1.2), most / pass_ms(most, 1.2)
+    assert limited > 0.85 * full
+
+
 class Day(NamedTuple):
     """Streams of a replayed day."""
 
--- a/tests/direct/test_map_steward.py
+++ b/tests/direct/test_map_steward.py
@@ -32,9 +32,14 @@
 
     def __init__(self):
         self.is_slowed = False
+        self.has_lead = True
+        self.other_led_ms_ago = float("inf")
 
     def takes_lead(self):
-        return True
+        return self.has_lead
+
+    def ms_since_other_led(self):
+        return self.other_led_ms_ago
 
     def live(self):
         return []
@@ -152,6 +157,35 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_new_holder_of_the_lead_has_a_map_in_force_soon(autojump_clock, nursery):
+    """All hosts lost power; the ranks went on, and demand has shifted meanwhile."""
+    site = Site()
+    site.exchange.has_lead = False
+    await site.start(nursery)
+    await trio.sleep(3.0)
+    site.control.shift(SHIFTED)
+    await trio.sleep(1.0)
+    site.exchange.has_lead = True
+    await trio.sleep(1.5)
+    assert len(site.hot_ranks()) > 1
+    nursery.cancel_scope.cancel()
+
+
+async def test_no_change_begins_while_another_host_may_be_at_one(
+    autojump_clock, nursery
+):
+    site = Site()
+    site.exchange.other_led_ms_ago = 100.0
+    site.control.shift(SHIFTED)
+    await site.start(nursery)
+    await trio.sleep(4.0)
+    assert site.hot_ranks() == [0]
+    site.exchange.other_led_ms_ago = 5_000.0
+    await trio.sleep(2.0)
+    assert len(site.hot_ranks()) > 1
+    nursery.cancel_scope.cancel()
+
+
 async def test_group_without_work_is_not_asked_for_counts(autojump_clock, nursery):
     site = Site()
     await site.start(nursery)
