Trust no idle connection of upstreams that drop them without a word

Change: a reset before any answer on a connection that had rested is no fault of the upstream; for 20 s that service's idle connections are used within 0.2 s or not at all. Reports and counts are asked for again on a new connection, orders use no rested one. Test: test_dropped_idle_connection_is_no_fault_of_the_upstream (new; before, the upstream was marked down).

--- a/poplarward/direct/beliefs.py
+++ b/poplarward/direct/beliefs.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from ..telemetry.logs import get_logger
+from ..transport.http1_client import SAFE_IDLE_S
 from ..transport.http1_server import CallerLimits
 from .batch_limit import max_running, max_running_before_shift
 from .clock import now_ms
@@ -23,6 +24,7 @@
 PLAIN_MAX_FILL = 2.0  # Plain services have short queues of their own.
 GROUP_PAUSE_MS = 700.0  # A request that tries a closed group costs a call or two.
 GROUP_RETURN_MS = 2_500.0  # Crashed ranks are away for seconds; callers return once.
+DISTRUST_IDLE_MS = 20_000.0  # Upstreams of a service that did so do so again.
 NO_UPSTREAM_RETRY_MS = 500.0  # Registrations return within about two seconds.
 
 log = get_logger("beliefs")
@@ -108,6 +110,7 @@
         self._rng = rng
         self._paces: dict[str, Pace] = {}
         self._rooms: dict[str, WaitingRoom] = {}
+        self._dropped_at_ms: dict[str, float] = {}
         self._group_closed_until_ms: dict[str, float] = {}
 
     @property
@@ -185,6 +188,23 @@
         """Return the services whose streams have all at once become slower."""
         return [name for name, pace in self._paces.items() if pace.has_jumped()]
 
+    def max_idle_s(self, service: str) -> float:
+        """Return how long a connection may have been idle to be used again."""
+        dropped_at_ms = self._dropped_at_ms.get(service, float("-inf"))
+        if now_ms() - dropped_at_ms < DISTRUST_IDLE_MS:
+            return SAFE_IDLE_S
+        return float("inf")
+
+    def note_dropped_connection(self, service: str, rested_s: float) -> None:
+        """Note that an upstream had dropped an idle connection without a word."""
+        if self.max_idle_s(service) > SAFE_IDLE_S:
+            log.warning(
+                "connections.dropped_idle",
+                service=service,
+                rested_ms=int(1000 * rested_s),
+            )
+        self._dropped_at_ms[service] = now_ms()
+
     def retries(self, service: str) -> _ServiceRetries:
         """Return the retries left towards a service."""
         return self._retry_bounds.of(service)
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -17,7 +17,7 @@
 from ..requests.retries import Failure, GiveUp, Progress, Retry, combine_outcomes
 from ..requests.retries import next_step as decide_next_step
 from ..telemetry.logs import get_logger
-from ..transport.http1_client import Http1Connection, ResponseHead
+from ..transport.http1_client import SAFE_IDLE_S, Http1Connection, ResponseHead
 from ..transport.http1_server import Exchange
 from .beliefs import Beliefs
 from .clock import elapsed_ms, now_ms
@@ -36,7 +36,6 @@
 FIRST_TRY_PART = 0.5  # Part of the timeout after which a silent upstream is given up.
 TIMEOUT_LEAD_MS = 30.0  # The final answer has to be on its way by the timeout.
 SLOW_RETRY_AFTER_MS = 2_500.0  # About the longest that callers wait to return.
-ONCE_MAX_IDLE_S = 0.3  # Upstreams drop idle connections after seconds at the least.
 MAX_FOREIGN_ANSWERS = 3  # Late answers to earlier requests that are read past.
 
 log = get_logger("relay")
@@ -253,7 +252,7 @@
         self, job: _Job, upstream: Upstream
     ) -> _Answered | _Unusable | Failure:
         try:
-            connection = await upstream.pool.take(_max_idle_s(job.route))
+            connection = await upstream.pool.take(self._max_idle_s(job))
         except UpstreamUnreachable as error:
             upstream.note_unreachable(now_ms())
             return _not_sent(str(error))
@@ -277,7 +276,10 @@
                 upstream.note_success(self._latency_ms(job, started_at_ms))
             return result
         except UpstreamUnreachable as error:
-            self._note_break(job, upstream)
+            if connection.rested_s > SAFE_IDLE_S and not connection.has_answered:
+                self._beliefs.note_dropped_connection(job.service, connection.rested_s)
+            else:
+                self._note_break(job, upstream)
             return Failure(Outcome.UNKNOWN, str(error), 502)
         except (StreamBroken, h11.ProtocolError) as error:
             upstream.note_failure()
@@ -289,6 +291,16 @@
                 # Closing it has the upstream stop its work.
                 await connection.close()
 
+    def _max_idle_s(self, job: _Job) -> float:
+        """Return how long a connection may have been idle that a request is sent on.
+
+        What is sent on one that the upstream has dropped is lost. A request that may
+        not run again can't be sent elsewhere then.
+        """
+        if job.route.may_run_again:
+            return self._beliefs.max_idle_s(job.service)
+        return SAFE_IDLE_S
+
     def _reason_not_to_send(self, job: _Job) -> str:
         """Return why a request must not reach an upstream any more, empty if it may."""
         if job.left_ms() <= 0:
@@ -467,15 +479,6 @@
         await exchange.respond(status, headers, b"")
 
 
-def _max_idle_s(route: Route) -> float:
-    """Return how long a connection may have been idle that a request is sent on.
-
-    What is sent on one that the upstream has dropped is lost, and then a request that
-    may not run again can't be sent elsewhere.
-    """
-    return float("inf") if route.may_run_again else ONCE_MAX_IDLE_S
-
-
 def _not_sent(reason: str, is_final: bool = False) -> Failure:
     """Return the failure of an attempt that no upstream has seen."""
     return Failure(Outcome.NOT_RUN, reason, 503, 0.0, is_final, is_planned=True)
--- a/poplarward/platform/rank_control.py
+++ b/poplarward/platform/rank_control.py
@@ -12,6 +12,7 @@
 from ..direct.upstreams import UpstreamTable
 from ..errors import FindingsError, UpstreamUnreachable
 from ..telemetry.logs import get_logger
+from ..transport.http1_client import SAFE_IDLE_S
 from .fields import FieldReader
 
 __all__ = ["PlatformRankControl", "decode_report"]
@@ -135,9 +136,11 @@
         return result
 
     async def _get(self, upstream_id: str, path: str) -> Any | None:
-        status, body = await self._call(
-            upstream_id, "GET", path, [], b"", READ_TIMEOUT_S
-        )
+        call = upstream_id, "GET", path, [], b"", READ_TIMEOUT_S
+        status, body = await self._call(*call, max_idle_s=float("inf"))
+        if status == 0:
+            # The connection may have been dropped while it was idle.
+            status, body = await self._call(*call, max_idle_s=0.0)
         if status != 200:
             log.info("ranks.no_answer", upstream=upstream_id, path=path, status=status)
             return None
@@ -155,6 +158,7 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes,
         timeout_s: float,
+        max_idle_s: float = SAFE_IDLE_S,
     ) -> tuple[int, bytes]:
         """Return status and body; status 0 without an answer."""
         upstream = self._upstreams.get(upstream_id)
@@ -166,7 +170,7 @@
         is_whole = False
         try:
             with trio.fail_after(timeout_s):
-                connection = await upstream.pool.take()
+                connection = await upstream.pool.take(max_idle_s)
                 await connection.send(method, path, [host, instance, *headers], body)
                 head = await connection.read_head()
                 content = await connection.read_body(MAX_ANSWER_BYTES)
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -17,10 +17,17 @@
 from ..errors import UpstreamUnreachable
 from .http1_server import RawHeaders
 
-__all__ = ["Http1Connection", "Http1Pool", "ResponseHead", "header_value"]
+__all__ = [
+    "SAFE_IDLE_S",
+    "Http1Connection",
+    "Http1Pool",
+    "ResponseHead",
+    "header_value",
+]
 
 READ_BYTES = 65_536  # One read takes a whole answer of the usual size.
 CONNECT_TIMEOUT_S = 0.8  # Within a caller's patience for one retry.
+SAFE_IDLE_S = 0.2  # Peers that drop idle connections silently keep them for longer.
 DEFAULT_KEEP_S = 4.0  # Upstreams that name no idle timeout; below the usual 5 s.
 KEEP_MARGIN_S = 1.0  # An idle timeout is given in whole seconds.
 USER_TIMEOUT_MS = 2_500  # Unacknowledged bytes mean that the peer is cut off.
@@ -56,12 +63,21 @@
 
     Every method raises `UpstreamUnreachable`, whose `sent` tells whether the upstream
     may have received the request.
+
+    Attributes
+    ----------
+    rested_s : float
+        How long it was idle before its present use; 0 for a new one.
+    has_answered : bool
+        Whether any bytes came in its present use.
     """
 
     def __init__(self, stream: trio.SocketStream):
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self.rested_s = 0.0
+        self.has_answered = False
         self._idle_since = 0.0
         self._idle_until = 0.0
         self._keep_s = DEFAULT_KEEP_S
@@ -150,12 +166,13 @@
         if self._h11.our_state is h11.DONE:
             self._h11.start_next_cycle()
         self._request = None
+        self.has_answered = False
         self._idle_since = now_s
         self._idle_until = now_s + self._keep_s
 
-    def was_used_within(self, max_idle_s: float, now_s: float) -> bool:
-        """Whether an idle connection has been so for at most some time."""
-        return now_s - self._idle_since <= max_idle_s
+    def idle_s(self, now_s: float) -> float:
+        """Return how long an idle connection has been so."""
+        return now_s - self._idle_since
 
     def is_fresh(self, now_s: float) -> bool:
         """Whether an idle connection is within its time and silent."""
@@ -168,7 +185,9 @@
     async def _next_event(self) -> h11.Event | type:
         try:
             while (event := self._h11.next_event()) is h11.NEED_DATA:
-                self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
+                data = await self._stream.receive_some(READ_BYTES)
+                self.has_answered = self.has_answered or bool(data)
+                self._h11.receive_data(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise UpstreamUnreachable(f"reading: {error}", sent=True) from error
         except h11.RemoteProtocolError as error:
@@ -211,9 +230,10 @@
         """
         while self._idle:
             now = trio.current_time()
-            if not self._idle[-1].was_used_within(max_idle_s, now):
+            if self._idle[-1].idle_s(now) > max_idle_s:
                 break
             connection = self._idle.pop()
+            connection.rested_s = connection.idle_s(now)
             if connection.is_fresh(now):
                 return connection
             await connection.close()
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from poplarward.direct.relay import ONCE_MAX_IDLE_S
+from poplarward.transport.http1_client import SAFE_IDLE_S
 from tests.direct.relay_path import (
     STAMP,
     Upstream,
@@ -190,16 +190,36 @@
     upstream = Upstream()
     async with open_path(upstream) as path:
         assert (await path.call("/read/1")).status == 200
-        await trio.sleep(ONCE_MAX_IDLE_S + 0.1)
+        await trio.sleep(SAFE_IDLE_S + 0.1)
         assert (await path.call("/pay/1", "POST", b"x")).status == 200
         assert upstream.n_connections == 2
         # Just used, it is taken again; and a call that may be repeated takes any.
         assert (await path.call("/pay/1", "POST", b"x")).status == 200
-        await trio.sleep(ONCE_MAX_IDLE_S + 0.1)
+        await trio.sleep(SAFE_IDLE_S + 0.1)
         assert (await path.call("/read/1")).status == 200
         assert upstream.n_connections == 2
 
 
+async def test_dropped_idle_connection_is_no_fault_of_the_upstream():
+    """An upstream drops connections without a word; what is sent next is lost."""
+
+    async def lost_if_reused(stream, request):
+        n_seen[stream] = n_seen.get(stream, 0) + 1
+        if n_seen[stream] > 1:
+            return False
+        await good(stream, request)
+
+    n_seen = {}
+    upstream = Upstream(*[lost_if_reused] * 9)
+    async with open_path(upstream) as path:
+        for _ in range(3):
+            assert (await path.call("/read/1")).status == 200
+            await trio.sleep(SAFE_IDLE_S + 0.1)
+        assert path.beliefs.upstreams.get("u0").failure_share == 0
+        # The second one lost its connection, and was repeated; no other was.
+        assert len(upstream.seen) == 4
+
+
 async def test_success_without_the_upstreams_mark_is_no_success():
     async def unmarked(stream, request):
         await stream.send_all(response(request))
