Gather changes of a long series in fewer calls; tests' ports out of others' way

Change: the pause after a change doubles up to 0.6 s while changes keep coming. Test: a series of 19 changes: at most 12 calls, each change in force within 0.8 s; red with the former pause (19 calls). The likeliest cause, found by reading, is a port taken between choosing it and the role's start (the test chose ports that systems deal out to any connection); the message did not say. Ports are now chosen below that range, and the message holds the process's log.

--- a/poplarward/direct/following.py
+++ b/poplarward/direct/following.py
@@ -16,7 +16,8 @@
 
 log = get_logger("feed")
 
-GATHER_S = 0.15  # Changes that come in a series take fewer calls.
+GATHER_S = 0.15  # Changes that come together take one call.
+MAX_GATHER_S = 0.6  # In a long series; well within the bounds on acting on a change.
 RETURN_WINDOW_MS = 3_000.0  # Entries that lapsed in an outage return in about 2 s.
 
 
@@ -83,6 +84,7 @@
         """Follow the feed until cancelled."""
         revision: int | None = None
         wait_ms = self._wait_ms
+        gather_s = GATHER_S
         while True:
             try:
                 if revision is None:
@@ -91,7 +93,10 @@
                     revision, n_changes = await self._take_changes(revision, wait_ms)
                     wait_ms = self._confirm_wait_ms if n_changes else self._wait_ms
                     if n_changes:
-                        await trio.sleep(GATHER_S)
+                        await trio.sleep(gather_s)
+                    gather_s = (
+                        min(2 * gather_s, MAX_GATHER_S) if n_changes else GATHER_S
+                    )
                 self._note_store()
             except RevisionTooOld:
                 log.info("feed.history_dropped", feed=self._name, revision=revision)
--- a/tests/direct/test_following.py
+++ b/tests/direct/test_following.py
@@ -56,6 +56,21 @@
         return FeedChanges(after_revision, [])
 
 
+class SeriesFeed(ScriptedFeed):
+    """Changes at set times, none of which is lost between two calls."""
+
+    async def changes(self, after_revision, wait_ms):
+        self._check()
+        end = trio.current_time() + wait_ms / 1000
+        while True:
+            now = trio.current_time()
+            due = [t for t in self.change_times_s[after_revision - 1 :] if t <= now]
+            if due or now >= end:
+                changes = [FeedChange("main", t) for t in due]
+                return FeedChanges(after_revision + len(due), changes)
+            await trio.sleep(0.01)
+
+
 def follower_of(feed, seen):
     return FeedFollower(
         "test",
@@ -116,3 +131,26 @@
     await trio.sleep(10)
     assert seen == [{"main": 0}, {"main": 0}]
     nursery.cancel_scope.cancel()
+
+
+async def test_long_series_of_changes_takes_few_calls_and_is_applied_in_time(
+    autojump_clock, nursery
+):
+    """Nineteen upstreams register one after the other as all hosts start."""
+    times_s = [1.0 + 0.16 * number for number in range(19)]
+    feed = SeriesFeed(times_s)
+    delays_s = []
+    follower = FeedFollower(
+        "test",
+        feed,
+        2_400,
+        lambda objects: None,
+        lambda change: delays_s.append(trio.current_time() - change.value),
+        Backoff(RetryBudget(3.0), random.Random(1), max_pause_ms=1_000.0),
+    )
+    nursery.start_soon(follower.run)
+    await trio.sleep(6.0)
+    assert len(delays_s) == 19
+    assert max(delays_s) < 0.8
+    assert feed.n_calls <= 12
+    nursery.cancel_scope.cancel()
--- a/tests/platform/test_entry_process.py
+++ b/tests/platform/test_entry_process.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,15 +25,27 @@
 from tests.platform.store_standin import StoreStandin
 
 
+# Below the ports that systems deal out by themselves, so that no connection of
+# another process takes one before the role listens on it.
+FIRST_PORT, LAST_PORT = 12_000, 30_000
+
+
 def free_ports(n_ports):
     """Return ports that nobody listens on."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    ports = []
+    # Runs beside each other with one seed must not choose alike.
+    order = list(range(FIRST_PORT, LAST_PORT))
+    random.SystemRandom().shuffle(order)
+    for port in order:
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == n_ports:
+            return ports
+    raise AssertionError("no free ports")
 
 
 class Entry:
@@ -60,7 +73,8 @@
                     return
             except Exception as error:
                 if self.process.poll() is not None:
-                    raise AssertionError("the process has ended") from error
+                    said = log_of(self.settings_path.parent)
+                    raise AssertionError(f"the process has ended: {said}") from error
             await trio.sleep(0.02)
 
     async def call(self, target, **options):
