--- a/tests/platform/test_entry_process.py
+++ b/tests/platform/test_entry_process.py
@@ -24,7 +24,6 @@
 from tests.platform.documents import config_document, server_document, settings_text
 from tests.platform.store_standin import StoreStandin
 
-
 # Below the ports that systems deal out by themselves, so that no connection of
 # another process takes one before the role listens on it.
 FIRST_PORT, LAST_PORT = 12_000, 30_000
