--- a/poplarward/direct/beliefs.py
+++ b/poplarward/direct/beliefs.py
@@ -3,22 +3,22 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from ..telemetry.logs import get_logger
 from ..transport.http1_client import SAFE_IDLE_S
 from ..transport.http1_server import CallerLimits
-from .batch_limit import max_running, max_running_before_shift
 from .clock import now_ms
-from .model import Configuration, EngineProfile, Service
+from .model import Configuration, Service
 from .pace import Pace, can_end_in_time
-from .placement import Candidate, choose_upstream
-from .retry_share import RetryShare
+from .placement import choose_upstream
+from .retry_share import RetryBounds, ServiceRetries
 from .routing_table import RoutingTable
+from .service_load import ServiceLoad, base_load, service_load
 from .upstreams import Upstream, UpstreamTable
 from .waiting import Placed, Refused, Ticket, WaitingRoom, WantedPlace
 
-__all__ = ["Beliefs", "RetryBounds"]
+__all__ = ["Beliefs"]
 
 ENGINE_MAX_FILL = 1.0  # A request that waits at a rank can't go to a freer one.
 PLAIN_MAX_FILL = 2.0  # Plain services have short queues of their own.
@@ -30,51 +30,6 @@
 log = get_logger("beliefs")
 
 
-class RetryBounds:
-    """The retries that this host may make towards each service.
-
-    Parameters
-    ----------
-    ratio, fixed, window_s : float
-        See `RetryShare`.
-    count_hosts : callable
-        Returns the number of entry hosts that serve.
-    """
-
-    def __init__(
-        self,
-        ratio: float,
-        fixed: float,
-        window_s: float,
-        count_hosts: Callable[[], int],
-    ):
-        self._arguments = ratio, fixed, window_s
-        self._count_hosts = count_hosts
-        self._shares: dict[str, _ServiceRetries] = {}
-
-    def of(self, service: str) -> _ServiceRetries:
-        """Return what is left towards a service."""
-        held = self._shares.get(service)
-        if held is None:
-            share = RetryShare(*self._arguments)
-            held = self._shares[service] = _ServiceRetries(share, self._count_hosts)
-        return held
-
-
-class _ServiceRetries:
-    def __init__(self, share: RetryShare, count_hosts: Callable[[], int]):
-        self._share = share
-        self._count_hosts = count_hosts
-
-    def note_request(self) -> None:
-        """Count a request's first attempt."""
-        self._share.note_request()
-
-    def take(self) -> bool:
-        """Take one repeat; returns whether there was one left."""
-        return self._share.take(now_ms() / 1000, self._count_hosts())
-
-
 class Beliefs:
     """Configuration, upstreams and places.
 
@@ -205,7 +160,7 @@
             )
         self._dropped_at_ms[service] = now_ms()
 
-    def retries(self, service: str) -> _ServiceRetries:
+    def retries(self, service: str) -> ServiceRetries:
         """Return the retries left towards a service."""
         return self._retry_bounds.of(service)
 
@@ -223,6 +178,13 @@
             )
         return await room.place(wanted)
 
+    def load_of(self, service: str, objective_ms: float) -> ServiceLoad:
+        """Return how busy a service is, for streams with a pauses' objective."""
+        declared = self.service(service)
+        engine = declared.engine if declared is not None else None
+        candidates = self.upstreams.candidates(service, now_ms())
+        return service_load(engine, candidates, self.pace(service), objective_ms)
+
     def can_end_in_time(
         self, service: str, expected_tokens: int | None, left_ms: float
     ) -> bool:
@@ -260,13 +222,11 @@
     def _take_place(self, service: str, ticket: Ticket) -> str | None:
         declared = self.service(service)
         engine = declared.engine if declared is not None else None
-        candidates = self.upstreams.candidates(service, now_ms(), _base_load(engine))
+        candidates = self.upstreams.candidates(service, now_ms(), base_load(engine))
         objective_ms = ticket.wanted.pause_objective_ms
-        if engine is not None and objective_ms > 0:
-            n_running = sum(candidate.n_in_hand for candidate in candidates)
-            pause_ms = self.pace(service).highest_ms()
-            if n_running >= _most_running(engine, candidates, pause_ms, objective_ms):
-                return None
+        load = service_load(engine, candidates, self.pace(service), objective_ms)
+        if load.n_running >= load.most_running:
+            return None
         chosen = choose_upstream(
             candidates,
             ticket.wanted.tried,
@@ -288,27 +248,3 @@
     def _wake_all(self) -> None:
         for room in self._rooms.values():
             room.wake()
-
-
-def _most_running(
-    engine: EngineProfile,
-    ranks: Sequence[Candidate],
-    pause_ms: float | None,
-    objective_ms: float,
-) -> float:
-    """Return how many streams may run at once on a service's ranks."""
-    n_running = sum(rank.n_in_hand for rank in ranks)
-    n_places = sum(rank.n_slots for rank in ranks)
-    slowest = max((rank.slowness for rank in ranks), default=1.0)
-    fixed_ms = engine.step_ms * engine.steps_per_pass * slowest
-    return min(
-        max_running(n_running, n_places, pause_ms, fixed_ms, objective_ms),
-        max_running_before_shift(engine, len(ranks), n_places, objective_ms),
-    )
-
-
-def _base_load(engine: EngineProfile | None) -> float:
-    """Return the requests whose time a token step takes by itself."""
-    if engine is None or engine.per_sequence_ms <= 0:
-        return 0.0
-    return engine.step_ms / engine.per_sequence_ms
--- /dev/null
+++ b/poplarward/direct/job.py
@@ -0,0 +1,39 @@
+"""One request on its way through an entry host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..protocol.outcomes import Outcome
+from ..transport.http1_server import Exchange
+from .clock import now_ms
+from .model import CallerRequest, Route
+from .streams import EventSplitter
+
+__all__ = ["Job"]
+
+
+@dataclass
+class Job:
+    """A request on its way."""
+
+    exchange: Exchange
+    request: CallerRequest
+    route: Route
+    service: str
+    workspace: str | None
+    priority: int
+    key: str | None
+    arrived_at_ms: float
+    deadline_ms: float
+    outcome: Outcome = Outcome.NOT_RUN
+    tried: list[str] = field(default_factory=list)
+    splitter: EventSplitter | None = None
+    first_sent_ms: float | None = None
+    last_sent_at_ms: float = 0.0
+    longest_pause_ms: float = 0.0
+    n_events: int = 0
+
+    def left_ms(self) -> float:
+        """Return the time until the final answer is due."""
+        return self.deadline_ms - now_ms()
--- a/poplarward/direct/request_log.py
+++ b/poplarward/direct/request_log.py
@@ -10,8 +10,8 @@
 
 if TYPE_CHECKING:
     from .beliefs import Beliefs
+    from .job import Job
     from .model import CallerRequest
-    from .relay import _Job
 
 __all__ = ["RequestLog"]
 
@@ -32,9 +32,7 @@
         self._beliefs = beliefs
         self._metrics = metrics
 
-    def denied(
-        self, request: CallerRequest, status: int, reason: str, beliefs: Beliefs
-    ) -> None:
+    def denied(self, request: CallerRequest, status: int, reason: str) -> None:
         """Note a request that was answered without looking for an upstream."""
         log.info(
             "request.denied",
@@ -43,11 +41,11 @@
             path=request.path,
             status=status,
             reason=reason,
-            **_age_of(beliefs),
+            **_age_of(self._beliefs),
         )
         self._metrics.count_outcome("none", "none", f"denied-{status}")
 
-    def retried(self, job: _Job, reason: str) -> None:
+    def retried(self, job: Job, reason: str) -> None:
         """Note an attempt that failed and is followed by another."""
         log.info(
             "request.retried",
@@ -58,7 +56,7 @@
             left_ms=int(job.left_ms()),
         )
 
-    def ended(self, job: _Job, result: str, status: int) -> None:
+    def ended(self, job: Job, result: str, status: int) -> None:
         """Note the final answer of a request."""
         total_ms = elapsed_ms(job.arrived_at_ms)
         log.info(
@@ -78,6 +76,7 @@
             longest_pause_ms=int(job.longest_pause_ms) or None,
             first_ms=None if job.first_sent_ms is None else int(job.first_sent_ms),
             total_ms=int(total_ms),
+            **(self._load_of(job) if status == 503 else {}),
             **_age_of(self._beliefs),
         )
         self._metrics.observe_answer(
@@ -88,6 +87,16 @@
             result.partition(":")[0],
         )
 
+    def _load_of(self, job: Job) -> dict[str, object]:
+        """Return what a refusal was decided by."""
+        load = self._beliefs.load_of(job.service, job.route.pause_objective_ms)
+        is_bounded = load.most_running != float("inf")
+        return {
+            "n_running": int(load.n_running),
+            "most_running": int(load.most_running) if is_bounded else None,
+            "pause_ms": None if load.pause_ms is None else int(load.pause_ms),
+        }
+
 
 def _age_of(beliefs: Beliefs) -> dict[str, int | None]:
     age_ms = beliefs.age_ms()
--- a/poplarward/direct/retry_share.py
+++ b/poplarward/direct/retry_share.py
@@ -8,7 +8,11 @@
 
 from __future__ import annotations
 
-__all__ = ["RetryShare"]
+from collections.abc import Callable
+
+from .clock import now_ms
+
+__all__ = ["RetryBounds", "RetryShare", "ServiceRetries"]
 
 DEALT_PART = 0.5  # Room for hosts that are killed and start again within a window.
 REQUEST_PART = 0.7  # Requests of the former window may have been fewer.
@@ -60,3 +64,50 @@
             return False
         self._n_left -= 1
         return True
+
+
+class RetryBounds:
+    """The retries that this host may make towards each service.
+
+    Parameters
+    ----------
+    ratio, fixed, window_s : float
+        See `RetryShare`.
+    count_hosts : callable
+        Returns the number of entry hosts that serve.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        fixed: float,
+        window_s: float,
+        count_hosts: Callable[[], int],
+    ):
+        self._arguments = ratio, fixed, window_s
+        self._count_hosts = count_hosts
+        self._shares: dict[str, ServiceRetries] = {}
+
+    def of(self, service: str) -> ServiceRetries:
+        """Return what is left towards a service."""
+        held = self._shares.get(service)
+        if held is None:
+            share = RetryShare(*self._arguments)
+            held = self._shares[service] = ServiceRetries(share, self._count_hosts)
+        return held
+
+
+class ServiceRetries:
+    """What is left towards one service."""
+
+    def __init__(self, share: RetryShare, count_hosts: Callable[[], int]):
+        self._share = share
+        self._count_hosts = count_hosts
+
+    def note_request(self) -> None:
+        """Count a request's first attempt."""
+        self._share.note_request()
+
+    def take(self) -> bool:
+        """Take one repeat; returns whether there was one left."""
+        return self._share.take(now_ms() / 1000, self._count_hosts())
--- /dev/null
+++ b/poplarward/direct/service_load.py
@@ -0,0 +1,59 @@
+"""How busy a service is, and how many streams it may run at once."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from .batch_limit import max_running, max_running_before_shift
+from .model import EngineProfile
+from .pace import Pace
+from .placement import Candidate
+
+__all__ = ["ServiceLoad", "base_load", "service_load"]
+
+
+class ServiceLoad(NamedTuple):
+    """How busy a service is.
+
+    Attributes
+    ----------
+    n_running : float
+        Requests that all entry hosts have there, as far as known.
+    most_running : float
+        Requests that may run at once for pauses within their objective.
+    pause_ms : float or None
+        Pause between the events of its streams, None if it is not known.
+    """
+
+    n_running: float
+    most_running: float
+    pause_ms: float | None
+
+
+def service_load(
+    engine: EngineProfile | None,
+    ranks: Sequence[Candidate],
+    pace: Pace,
+    objective_ms: float,
+) -> ServiceLoad:
+    """Return how busy a service is, for streams with a pauses' objective."""
+    n_running = sum(rank.n_in_hand for rank in ranks)
+    pause_ms = pace.highest_ms()
+    if engine is None or objective_ms <= 0:
+        return ServiceLoad(n_running, float("inf"), pause_ms)
+    n_places = sum(rank.n_slots for rank in ranks)
+    slowest = max((rank.slowness for rank in ranks), default=1.0)
+    fixed_ms = engine.step_ms * engine.steps_per_pass * slowest
+    most_running = min(
+        max_running(n_running, n_places, pause_ms, fixed_ms, objective_ms),
+        max_running_before_shift(engine, len(ranks), n_places, objective_ms),
+    )
+    return ServiceLoad(n_running, most_running, pause_ms)
+
+
+def base_load(engine: EngineProfile | None) -> float:
+    """Return the requests whose time a token step takes by itself."""
+    if engine is None or engine.per_sequence_ms <= 0:
+        return 0.0
+    return engine.step_ms / engine.per_sequence_ms
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ..direct.beliefs import Beliefs, RetryBounds
+from ..direct.beliefs import Beliefs
 from ..direct.clock import now_ms
 from ..direct.following import FeedFollower
 from ..direct.load_exchange import HostState, LoadExchange
@@ -16,6 +16,7 @@
 from ..direct.ports import FeedChange
 from ..direct.relay import Relay
 from ..direct.request_log import RequestLog
+from ..direct.retry_share import RetryBounds
 from ..errors import ConflictError, FindingsError, NotFound, StoreUnavailable
 from ..state.budget import Backoff, RetryBudget
 from ..telemetry.logs import get_logger
--- a/tests/direct/relay_path.py
+++ b/tests/direct/relay_path.py
@@ -9,7 +9,7 @@
 import h11
 import trio
 
-from poplarward.direct.beliefs import Beliefs, RetryBounds
+from poplarward.direct.beliefs import Beliefs
 from poplarward.direct.model import (
     Configuration,
     Repeatability,
@@ -21,6 +21,7 @@
 )
 from poplarward.direct.relay import Relay
 from poplarward.direct.request_log import RequestLog
+from poplarward.direct.retry_share import RetryBounds
 from poplarward.platform.calls import PlatformCalls
 from poplarward.telemetry import RequestMetrics
 from poplarward.transport.http1_server import CallerLimits, Http1Server
--- a/tests/direct/test_batch_limit.py
+++ b/tests/direct/test_batch_limit.py
@@ -4,8 +4,9 @@
 from typing import NamedTuple
 
 from poplarward.direct.batch_limit import max_running, max_running_before_shift
-from poplarward.direct.beliefs import Beliefs, RetryBounds
+from poplarward.direct.beliefs import Beliefs
 from poplarward.direct.model import EngineProfile, Service, UpstreamEntry
+from poplarward.direct.retry_share import RetryBounds
 from poplarward.direct.waiting import Placed, Refused, WantedPlace
 from tests.direct.relay_path import configuration
 
--- a/tests/direct/test_map_steward.py
+++ b/tests/direct/test_map_steward.py
@@ -6,9 +6,10 @@
 import trio
 from trio.testing import MockClock
 
-from poplarward.direct.beliefs import Beliefs, RetryBounds
+from poplarward.direct.beliefs import Beliefs
 from poplarward.direct.map_steward import MapSteward
 from poplarward.direct.model import Service, UpstreamEntry
+from poplarward.direct.retry_share import RetryBounds
 from tests.direct.relay_path import configuration
 from tests.direct.simulated_group import SimulatedGroup
 from tests.direct.test_batch_limit import ENGINE
