Let callers who have come back go behind those who can be on time

Cause: callers return late after a refusal and took the places of fresh ones, so each of them made one more late; waiting callers who were late already sent fresh ones away at once. Change: a caller's time left, against what its route allows, tells how long ago it first asked; late ones go last, leave the last 7% of places to others, and wait up to 1 s once they have come back. Bounds by pauses reckon with the slowest rank. A plan has to save 0.07 of skew.

--- a/poplarward/direct/batch_limit.py
+++ b/poplarward/direct/batch_limit.py
@@ -66,7 +66,11 @@
 
 
 def max_running_before_shift(
-    engine: EngineProfile, n_ranks: int, n_places: int, objective_ms: float
+    engine: EngineProfile,
+    n_ranks: int,
+    n_places: int,
+    fixed_ms: float,
+    objective_ms: float,
 ) -> float:
     """Return how many may run so that a shift of demand makes no pass too long.
 
@@ -79,6 +83,8 @@
     engine : EngineProfile
     n_ranks, n_places : int
         Ranks of the group, and requests that fit on all of them.
+    fixed_ms : float
+        Time of a pass without requests; a slow rank makes it longer.
     objective_ms : float
         Longest pause that is on time.
     """
@@ -90,7 +96,7 @@
     read_ms = 1000 * engine.mean_prompt_tokens / engine.read_tokens_per_s / passes
     skew_factor = 1 + engine.expert_share * (SHIFTED_SKEW - 1)
     request_ms = (write_ms * n_steps + read_ms) * skew_factor
-    room_ms = OBJECTIVE_PART * objective_ms - engine.step_ms * n_steps
+    room_ms = OBJECTIVE_PART * objective_ms - fixed_ms
     if room_ms <= 0 or request_ms <= 0:
         return float("inf")
     return max(MIN_FILL * n_places, n_ranks * room_ms / request_ms)
--- a/poplarward/direct/beliefs.py
+++ b/poplarward/direct/beliefs.py
@@ -22,6 +22,7 @@
 
 ENGINE_MAX_FILL = 1.0  # A request that waits at a rank can't go to a freer one.
 PLAIN_MAX_FILL = 2.0  # Plain services have short queues of their own.
+LATE_PART = 0.93  # Of what may run; the arrivals of some 0.1 s fit in the rest.
 GROUP_PAUSE_MS = 700.0  # A request that tries a closed group costs a call or two.
 GROUP_RETURN_MS = 2_500.0  # Crashed ranks are away for seconds; callers return once.
 DISTRUST_IDLE_MS = 20_000.0  # Upstreams of a service that did so do so again.
@@ -225,7 +226,9 @@
         candidates = self.upstreams.candidates(service, now_ms(), base_load(engine))
         objective_ms = ticket.wanted.pause_objective_ms
         load = service_load(engine, candidates, self.pace(service), objective_ms)
-        if load.n_running >= load.most_running:
+        # The last places are left to those who can still be on time, at any host.
+        part = LATE_PART if ticket.wanted.is_late(now_ms()) else 1.0
+        if load.n_running >= part * load.most_running:
             return None
         chosen = choose_upstream(
             candidates,
--- a/poplarward/direct/job.py
+++ b/poplarward/direct/job.py
@@ -15,7 +15,11 @@
 
 @dataclass
 class Job:
-    """A request on its way."""
+    """A request on its way.
+
+    ``asked_at_ms`` is when its caller first asked, as far as its time left tells: one
+    that was refused and has come back waits less than its route allows.
+    """
 
     exchange: Exchange
     request: CallerRequest
@@ -25,6 +29,7 @@
     priority: int
     key: str | None
     arrived_at_ms: float
+    asked_at_ms: float
     deadline_ms: float
     outcome: Outcome = Outcome.NOT_RUN
     tried: list[str] = field(default_factory=list)
--- a/poplarward/direct/map_planner.py
+++ b/poplarward/direct/map_planner.py
@@ -25,6 +25,7 @@
 MB = 1_000_000
 SLOWED_SHARE = 0.15  # The platform's figure for passes while experts are copied.
 WEIGHTS = PlannerWeights(skew_weight=1.0, rebalance_cost_weight=0.5)
+MIN_SKEW_GAIN = 0.07  # Less shortens a pass by a ms or two, and orders have a price.
 MIN_TOKENS = 1_000.0  # Fewer tokens than a prompt's say nothing of popularity.
 
 
@@ -114,13 +115,16 @@
         if plan is None:
             return None
         after = apply_moves(padded, plan.moves)
+        skew_before, skew_after = self._skew(padded), self._skew(after)
+        if skew_before - skew_after < MIN_SKEW_GAIN:
+            return None
         n_new = _most_new(padded, after)
         return NextMap(
             [self._strip(layer) for layer in after],
             n_new * profile.expert_mb * 8 / max(profile.link_mbps, 1.0),
             sum(move.expert != self._empty for move in plan.moves),
-            self._skew(padded),
-            self._skew(after),
+            skew_before,
+            skew_after,
         )
 
     def _pad(self, layer: Layer) -> Layer:
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -20,7 +20,7 @@
 from .beliefs import Beliefs
 from .clock import now_ms
 from .job import Job
-from .model import CallerRequest
+from .model import CallerRequest, Route
 from .ports import CallProtocol
 from .request_log import RequestLog
 from .routing_table import Accepted, Denied, choose_service
@@ -28,6 +28,8 @@
 
 __all__ = ["Relay"]
 
+RETURNED_WAIT_MS = 1_000.0  # Late anyway, and callers return once; see worst_load.
+RETURNED_WAIT_PART = 0.4  # Of the time left; the answer takes the rest.
 WAIT_PART = 0.45  # Part of the latency objective that may be spent on waiting.
 TIMEOUT_LEAD_MS = 30.0  # The final answer has to be on its way by the timeout.
 SLOW_RETRY_AFTER_MS = 2_500.0  # About the longest that callers wait to return.
@@ -118,6 +120,7 @@
             priority,
             None if route.is_public else request.key,
             arrived_at_ms,
+            arrived_at_ms - _waited_before_ms(request, route),
             arrived_at_ms + timeout_ms,
         )
 
@@ -169,8 +172,10 @@
         ):
             return Refused("its answer can not end in time", SLOW_RETRY_AFTER_MS)
         objective_ms = job.route.latency_objective_ms
-        on_time_until_ms = job.arrived_at_ms + WAIT_PART * objective_ms
-        max_wait_ms = min(WAIT_PART * objective_ms, job.left_ms())
+        on_time_until_ms = job.asked_at_ms + WAIT_PART * objective_ms
+        has_returned = job.arrived_at_ms - job.asked_at_ms > objective_ms
+        wait_ms = RETURNED_WAIT_MS if has_returned else WAIT_PART * objective_ms
+        max_wait_ms = min(wait_ms, RETURNED_WAIT_PART * job.left_ms())
         # A stream that has begun is only worth something if it goes on.
         pause_objective_ms = 0.0 if job.splitter else job.route.pause_objective_ms
         return await beliefs.place(
@@ -228,3 +233,10 @@
         self._log.ended(job, f"failed: {reason}", status)
         headers = self._protocol.refusal_headers(job.request, None)
         await exchange.respond(status, headers, b"")
+
+
+def _waited_before_ms(request: CallerRequest, route: Route) -> float:
+    """Return for how long the caller of a request has asked before."""
+    if request.time_left_ms is None:
+        return 0.0
+    return max(0.0, route.timeout_ms - request.time_left_ms)
--- a/poplarward/direct/request_log.py
+++ b/poplarward/direct/request_log.py
@@ -76,6 +76,7 @@
             longest_pause_ms=int(job.longest_pause_ms) or None,
             first_ms=None if job.first_sent_ms is None else int(job.first_sent_ms),
             total_ms=int(total_ms),
+            asked_before_ms=int(job.arrived_at_ms - job.asked_at_ms) or None,
             **(self._load_of(job) if status == 503 else {}),
             **_age_of(self._beliefs),
         )
--- a/poplarward/direct/service_load.py
+++ b/poplarward/direct/service_load.py
@@ -47,7 +47,7 @@
     fixed_ms = engine.step_ms * engine.steps_per_pass * slowest
     most_running = min(
         max_running(n_running, n_places, pause_ms, fixed_ms, objective_ms),
-        max_running_before_shift(engine, len(ranks), n_places, objective_ms),
+        max_running_before_shift(engine, len(ranks), n_places, fixed_ms, objective_ms),
     )
     return ServiceLoad(n_running, most_running, pause_ms)
 
--- a/poplarward/direct/waiting.py
+++ b/poplarward/direct/waiting.py
@@ -5,7 +5,8 @@
 long queue makes all of them late. So only as many wait as will find a place in time;
 the others are refused at once, with times to return that follow each other at the rate
 at which places become free. Urgent requests go first, then those that can still be on
-time, in their order.
+time, in their order. Callers who have come back are late already and go behind those
+who are not: each place that goes to one of them instead makes one more late.
 """
 
 from __future__ import annotations
@@ -73,6 +74,10 @@
     pause_objective_ms: float = 0.0
     tried: Collection[str] = ()
 
+    def is_late(self, at_ms: float) -> bool:
+        """Whether its answer can't be on time any more."""
+        return self.on_time_until_ms < at_ms
+
 
 class Ticket(NamedTuple):
     """A request that wants a place; ``number`` rises with each that comes."""
@@ -92,11 +97,12 @@
     2
     """
 
-    def rank(ticket: Ticket) -> tuple[int, bool, int]:
-        wanted = ticket.wanted
-        return wanted.priority, wanted.on_time_until_ms < at_ms, ticket.number
+    return min(tickets, key=lambda ticket: _rank(ticket, at_ms))
+
 
-    return min(tickets, key=rank)
+def _rank(ticket: Ticket, at_ms: float) -> tuple[int, bool, int]:
+    wanted = ticket.wanted
+    return wanted.priority, wanted.is_late(at_ms), ticket.number
 
 
 def expected_wait_ms(n_ahead: int, freed_per_s: float) -> float:
@@ -192,9 +198,8 @@
             upstream_id = self._take_place(ticket)
             if upstream_id is not None:
                 return Placed(upstream_id)
-        n_ahead = sum(
-            w.ticket.wanted.priority <= wanted.priority for w in self._waiters.values()
-        )
+        rank = _rank(ticket, at_ms)
+        n_ahead = sum(_rank(w.ticket, at_ms) < rank for w in self._waiters.values())
         freed_per_s = self._freed.per_s(at_ms)
         if n_ahead and expected_wait_ms(n_ahead, freed_per_s) > wanted.max_wait_ms:
             return self._refuse("too many wait for a place")
--- a/tests/direct/test_batch_limit.py
+++ b/tests/direct/test_batch_limit.py
@@ -46,7 +46,7 @@
 
 def test_group_that_is_full_when_demand_shifts_is_not_late():
     """A backlog fills the group; the shift comes before any of it has ended."""
-    most = max_running_before_shift(ENGINE, N_RANKS, N_PLACES, OBJECTIVE_MS)
+    most = max_running_before_shift(ENGINE, N_RANKS, N_PLACES, FIXED_MS, OBJECTIVE_MS)
 
     def pass_ms(n_running, skew):
         work_ms = n_running / N_RANKS * RANK_REQUEST_MS
@@ -121,6 +121,10 @@
     """A rank ten times slower makes even empty passes longer than the objective."""
     assert max_running(60, N_PLACES, 500.0, 10 * FIXED_MS, OBJECTIVE_MS) == float("inf")
     assert max_running(60, N_PLACES, None, FIXED_MS, OBJECTIVE_MS) == float("inf")
+    most = max_running_before_shift(
+        ENGINE, N_RANKS, N_PLACES, 5 * FIXED_MS, OBJECTIVE_MS
+    )
+    assert most == float("inf")
 
 
 def _beliefs(n_running):
@@ -144,9 +148,10 @@
     return beliefs
 
 
-async def _place(beliefs, pause_objective_ms):
+async def _place(beliefs, pause_objective_ms, on_time_until_ms=1e12):
     return await beliefs.place(
-        "llm", WantedPlace(1, 0.0, 10.0, pause_objective_ms=pause_objective_ms)
+        "llm",
+        WantedPlace(1, on_time_until_ms, 10.0, pause_objective_ms=pause_objective_ms),
     )
 
 
@@ -157,3 +162,12 @@
     assert isinstance(await _place(beliefs, OBJECTIVE_MS), Refused)
     # One that goes on after a failure, or a plain call, is not held back.
     assert isinstance(await _place(beliefs, 0.0), Placed)
+
+
+async def test_last_places_are_left_to_those_who_can_be_on_time():
+    """After an outage callers return to all hosts, and are late already."""
+    most = _beliefs(0).load_of("llm", OBJECTIVE_MS).most_running
+    beliefs = _beliefs(n_running=0.96 * most)
+    late = await _place(beliefs, OBJECTIVE_MS, on_time_until_ms=0.0)
+    assert isinstance(late, Refused)
+    assert isinstance(await _place(beliefs, OBJECTIVE_MS), Placed)
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -175,6 +175,32 @@
     assert order == ["urgent", "drafting", "late"]
 
 
+async def test_late_callers_who_wait_send_nobody_away_who_can_be_on_time():
+    """After an outage callers who have come back wait at every host."""
+    places = Places(0)
+    room = WaitingRoom(places.take, places.give_back)
+    results = []
+
+    async def call(on_time_until_ms):
+        wanted = WantedPlace(1, on_time_until_ms, 1_000.0)
+        results.append((on_time_until_ms, await room.place(wanted)))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(16):
+            room.note_freed()  # Some four places in a second.
+        for _ in range(3):
+            nursery.start_soon(call, 0.0)
+            await trio.testing.wait_all_tasks_blocked()
+        nursery.start_soon(call, 1e12)
+        await trio.testing.wait_all_tasks_blocked()
+        assert results == []
+        places.n_free = 1
+        room.wake()
+        await trio.testing.wait_all_tasks_blocked()
+        assert [until for until, _ in results] == [1e12]
+        nursery.cancel_scope.cancel()
+
+
 async def test_burst_beyond_the_places_is_refused_at_once():
     """50 requests come at once where some four places are freed in a second."""
     places = Places(6)
--- a/tests/direct/test_relay.py
+++ b/tests/direct/test_relay.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from poplarward.direct.clock import now_ms
 from poplarward.transport.http1_client import SAFE_IDLE_S
 from tests.direct.relay_path import (
     STAMP,
@@ -122,6 +123,24 @@
     assert answer.status == 502
 
 
+async def test_caller_who_has_come_back_is_known_by_the_time_left():
+    upstream = Upstream()
+    async with open_path(upstream) as path:
+        wanted = []
+        place = path.beliefs.place
+
+        async def note(service, what):
+            wanted.append(what)
+            return await place(service, what)
+
+        path.beliefs.place = note
+        await path.call("/read/1")  # Its route allows 1 s, the caller 2 s.
+        await path.call("/read/1", Poplarward_Deadline_Ms="400")
+    first, returned = wanted
+    assert not first.is_late(now_ms()) and returned.is_late(now_ms())
+    assert returned.max_wait_ms > first.max_wait_ms
+
+
 async def test_callers_of_a_closed_rank_group_are_told_to_return_late():
     """A rank has crashed; the group is away for longer than callers keep trying."""
 
