Size the room for shifts by what is seen, fill slow ranks by their speed, agree on a lead

A full group also filled a rank 4.2 times slower than the others, and passes took 260 ms instead of some 150. Change: the host that tends the maps tells the greatest skew of the last 30 s in its beats; a slow upstream has as much less room as it is slower; a host takes no lead in its first 0.4 s, and does not wait for one that said it gave the lead up. Idle connections a host: 4 instead of 8, as workers bound those of all hosts. Tests: mild shifts, slow ranks, beats of other releases, start together, lead given up.

--- a/poplarward/direct/batch_limit.py
+++ b/poplarward/direct/batch_limit.py
@@ -17,7 +17,7 @@
 
 OBJECTIVE_PART = 0.9  # Passes differ by a prompt or two that are read in between.
 MIN_FILL = 0.5  # Of all places; with fewer taken a pass is mostly its fixed time.
-SHIFTED_SKEW = 4.0  # Busiest rank over the mean on a map made for another demand.
+DEFAULT_SHIFTED_SKEW = 4.0  # Of a first map; until a group's own is known.
 
 
 def max_running(
@@ -71,6 +71,7 @@
     n_places: int,
     fixed_ms: float,
     objective_ms: float,
+    shifted_skew: float = DEFAULT_SHIFTED_SKEW,
 ) -> float:
     """Return how many may run so that a shift of demand makes no pass too long.
 
@@ -87,6 +88,8 @@
         Time of a pass without requests; a slow rank makes it longer.
     objective_ms : float
         Longest pause that is on time.
+    shifted_skew : float
+        Busiest rank's work over the mean on a map that was made for another demand.
     """
     n_steps = engine.steps_per_pass
     passes = max(1.0, engine.mean_answer_tokens / n_steps)
@@ -94,7 +97,7 @@
     write_ms = engine.per_sequence_ms
     write_ms += engine.context_ms_per_k_tokens * mean_context / 1000
     read_ms = 1000 * engine.mean_prompt_tokens / engine.read_tokens_per_s / passes
-    skew_factor = 1 + engine.expert_share * (SHIFTED_SKEW - 1)
+    skew_factor = 1 + engine.expert_share * (shifted_skew - 1)
     request_ms = (write_ms * n_steps + read_ms) * skew_factor
     room_ms = OBJECTIVE_PART * objective_ms - fixed_ms
     if room_ms <= 0 or request_ms <= 0:
--- a/poplarward/direct/beliefs.py
+++ b/poplarward/direct/beliefs.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ..telemetry.logs import get_logger
 from ..transport.http1_client import SAFE_IDLE_S
 from ..transport.http1_server import CallerLimits
+from .batch_limit import DEFAULT_SHIFTED_SKEW
 from .clock import now_ms
 from .model import Configuration, Service
 from .pace import Pace, can_end_in_time
-from .placement import choose_upstream
+from .placement import Candidate, choose_upstream
 from .retry_share import RetryBounds, ServiceRetries
 from .routing_table import RoutingTable
 from .service_load import ServiceLoad, base_load, service_load
@@ -66,6 +67,7 @@
         self._rng = rng
         self._paces: dict[str, Pace] = {}
         self._rooms: dict[str, WaitingRoom] = {}
+        self._shifted_skews: dict[str, float] = {}
         self._dropped_at_ms: dict[str, float] = {}
         self._group_closed_until_ms: dict[str, float] = {}
 
@@ -181,10 +183,12 @@
 
     def load_of(self, service: str, objective_ms: float) -> ServiceLoad:
         """Return how busy a service is, for streams with a pauses' objective."""
-        declared = self.service(service)
-        engine = declared.engine if declared is not None else None
         candidates = self.upstreams.candidates(service, now_ms())
-        return service_load(engine, candidates, self.pace(service), objective_ms)
+        return self._load(service, candidates, objective_ms)
+
+    def take_shifted_skews(self, skews: dict[str, float]) -> None:
+        """Take in how uneven services' maps were when their demand had shifted."""
+        self._shifted_skews |= skews
 
     def can_end_in_time(
         self, service: str, expected_tokens: int | None, left_ms: float
@@ -225,7 +229,7 @@
         engine = declared.engine if declared is not None else None
         candidates = self.upstreams.candidates(service, now_ms(), base_load(engine))
         objective_ms = ticket.wanted.pause_objective_ms
-        load = service_load(engine, candidates, self.pace(service), objective_ms)
+        load = self._load(service, candidates, objective_ms)
         # The last places are left to those who can still be on time, at any host.
         part = LATE_PART if ticket.wanted.is_late(now_ms()) else 1.0
         if load.n_running >= part * load.most_running:
@@ -242,6 +246,18 @@
         self.on_load_change()
         return chosen.id
 
+    def _load(
+        self, service: str, candidates: Sequence[Candidate], objective_ms: float
+    ) -> ServiceLoad:
+        declared = self.service(service)
+        return service_load(
+            declared.engine if declared is not None else None,
+            candidates,
+            self.pace(service),
+            objective_ms,
+            self._shifted_skews.get(service, DEFAULT_SHIFTED_SKEW),
+        )
+
     def _give_back(self, upstream_id: str) -> None:
         upstream = self.upstreams.get(upstream_id)
         if upstream is not None:
--- a/poplarward/direct/load_exchange.py
+++ b/poplarward/direct/load_exchange.py
@@ -25,6 +25,7 @@
 INTERVAL_MS = 250.0  # Four lost in a row make a host silent.
 SILENT_AFTER_MS = 1_000.0  # Below a caller's timeout for a new connection.
 LEAD_SILENT_AFTER_MS = 600.0  # Two beats; a change may keep a whole group waiting.
+LEAD_AFTER_START_MS = 400.0  # Hosts that start together have heard of each other.
 SLOWED_FOR_MS = 300.0  # Beyond a beat; what was said before may be over.
 FORGOTTEN_AFTER_MS = 60_000.0  # A host that is cut off for longer registers again.
 MIN_GAP_MS_PER_PEER = 2.5  # Bounds updates to 400 datagrams a second and host.
@@ -55,6 +56,9 @@
         Whether it tends the rank groups' maps.
     slowed_services : sequence of str
         Services whose streams have all at once become slower here.
+    shifted_skews : dict
+        By service, the busiest rank's work over the mean on a map made for another
+        demand, as the host that tends the maps has seen of late.
     """
 
     host: str
@@ -66,6 +70,7 @@
     slowness: dict[str, float]
     is_leading: bool
     slowed_services: Sequence[str] = ()
+    shifted_skews: dict[str, float] = {}
 
 
 class HostState(NamedTuple):
@@ -74,6 +79,7 @@
     loads: dict[str, int]
     slowness: dict[str, float]
     slowed_services: Sequence[str] = ()
+    shifted_skews: dict[str, float] = {}
 
 
 def encode_beat(beat: HostBeat) -> bytes:
@@ -97,12 +103,15 @@
         loads = {str(key): int(n) for key, n in beat.loads.items()}
         slowness = {str(key): float(x) for key, x in beat.slowness.items()}
         slowed = tuple(map(str, beat.slowed_services))
+        skews = {str(key): float(x) for key, x in beat.shifted_skews.items()}
         is_sound = isinstance(beat.host, str) and isinstance(beat.number, int)
     except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as error:
         raise DecodeError(f"not a beat: {error}") from error
     if version != FORMAT or not is_sound:
         raise DecodeError(f"beat of format {version}")
-    return beat._replace(loads=loads, slowness=slowness, slowed_services=slowed)
+    return beat._replace(
+        loads=loads, slowness=slowness, slowed_services=slowed, shifted_skews=skews
+    )
 
 
 class _Peer(NamedTuple):
@@ -126,6 +135,8 @@
         Called with the others' requests in hand by upstream.
     on_slowness : callable
         Called with the slow ranks that any host has read of.
+    on_skews : callable
+        Called with the shifted skews that another host has told.
     """
 
     def __init__(
@@ -136,7 +147,9 @@
         is_serving: Callable[[], bool],
         on_change: Callable[[dict[str, float]], None],
         on_slowness: Callable[[dict[str, float]], None] = lambda slowness: None,
+        on_skews: Callable[[dict[str, float]], None] = lambda skews: None,
     ):
+        self._on_skews = on_skews
         self._on_slowness = on_slowness
         self.host = host
         self.start_id = secrets.token_hex(4)
@@ -149,7 +162,9 @@
         self._endpoints: set[tuple[str, int]] = set()
         self._number = 0
         self._has_lead = False
+        self._opened_at_ms = float("-inf")
         self._other_led_at_ms = float("-inf")
+        self._other_leader: str | None = None
         self._socket: trio.socket.SocketType | None = None
         self._load_changed = trio.Event()
 
@@ -157,6 +172,7 @@
         """Open the socket."""
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         await self._socket.bind((ip, port))
+        self._opened_at_ms = now_ms()
 
     def close(self) -> None:
         """Close the socket."""
@@ -190,7 +206,8 @@
         Whoever does so keeps on while it serves: a successor has to learn first.
         Without such a host, and of several, it is the first by name.
         """
-        if not self._is_serving():
+        is_new = elapsed_ms(self._opened_at_ms) < LEAD_AFTER_START_MS
+        if is_new or not self._is_serving():
             self._has_lead = False
             return False
         beats = self.live(LEAD_SILENT_AFTER_MS)
@@ -226,6 +243,7 @@
             state.slowness,
             self._has_lead,
             state.slowed_services,
+            state.shifted_skews,
         )
         data = encode_beat(beat)
         for endpoint in list(self._endpoints):
@@ -268,10 +286,15 @@
             self._silent.discard(beat.host)
         self._endpoints.add(endpoint)
         if beat.is_leading:
-            self._other_led_at_ms = now_ms()
+            self._other_led_at_ms, self._other_leader = now_ms(), beat.host
+        elif beat.host == self._other_leader:
+            # It has ended its last change.
+            self._other_led_at_ms, self._other_leader = float("-inf"), None
         self._peers[beat.host] = _Peer(beat, endpoint, now_ms())
         if held is None or held.beat.loads != beat.loads:
             self._on_change(self.loads_of_others())
+        if beat.shifted_skews:
+            self._on_skews(beat.shifted_skews)
         if held is None or held.beat.slowness != beat.slowness:
             self._on_slowness(self.slowness())
 
--- a/poplarward/direct/map_planner.py
+++ b/poplarward/direct/map_planner.py
@@ -95,6 +95,10 @@
         self._estimator.follow_drift(at_step)
         self._has_counts = True
 
+    def skew(self, layers: Sequence[Layer]) -> float:
+        """Return the busiest rank's work over the mean, averaged over the layers."""
+        return self._skew([self._pad(layer) for layer in layers])
+
     def plan(
         self, layers: Sequence[Layer], slowness: Sequence[float], pass_s: float
     ) -> NextMap | None:
--- a/poplarward/direct/map_steward.py
+++ b/poplarward/direct/map_steward.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
@@ -41,6 +42,8 @@
 OTHER_LED_MS = 1_000.0  # A holder that is only slow has ended its change by then.
 MAX_PASS_S = 0.15  # Longer ones come from slow ranks, or from idle times.
 RECENT_PASSES = 40  # Counts since a rank's start are of use for some seconds.
+SKEW_WINDOW_S = 30.0  # Shifts of demand come every few seconds, or hardly ever.
+MIN_SKEWS = 6  # Looks in some seconds, of which one or two fall after a shift.
 MIN_SLOWNESS = 1.1  # Smaller differences change no choice.
 DEFAULT_PASS_S = 0.05  # Before two reports of a busy group are known.
 
@@ -64,6 +67,20 @@
         self.is_idle = False
         self.planned_epoch: int | None = None
         self.changed_at = float("-inf")
+        self._skews: deque[tuple[float, float]] = deque()
+
+    def note_skew(self) -> None:
+        """Note how uneven the map in use is for the present demand."""
+        now = trio.current_time()
+        self._skews.append((now, self.planner.skew(self.layers)))
+        while now - self._skews[0][0] > SKEW_WINDOW_S:
+            self._skews.popleft()
+
+    def shifted_skew(self) -> float | None:
+        """Return the greatest skew of late, None before enough is known."""
+        if len(self._skews) < MIN_SKEWS:
+            return None
+        return max(skew for _, skew in self._skews)
 
     def is_ahead_of(self, view: GroupView) -> bool:
         """Whether a change was made that the ranks' reports don't show yet."""
@@ -117,6 +134,15 @@
         """Return the ranks that report to be slower than others."""
         return self._slowness
 
+    def shifted_skews(self) -> dict[str, float]:
+        """Return how uneven groups were at their worst of late, by service."""
+        found: dict[str, float] = {}
+        for group in self._groups.values():
+            skew = group.shifted_skew()
+            if skew is not None:
+                found[group.service] = max(skew, found.get(group.service, 0.0))
+        return found
+
     async def run(self) -> None:
         """Tend the groups whenever this host is the one to do it."""
         while True:
@@ -272,6 +298,10 @@
             return
         self._note_pace(group, view)
         is_new = await self._observe(group, view, is_slowed)
+        # The first map of an epoch says nothing of a shift.
+        if is_new and group.planned_epoch == view.epoch and view.map_version:
+            group.note_skew()
+            self._beliefs.take_shifted_skews(self.shifted_skews())
         # A group that forms anew has its first map again, and mostly the same demand.
         is_planned = group.planned_epoch == view.epoch
         if not (is_new or not is_planned) or not self._may_change():
--- a/poplarward/direct/placement.py
+++ b/poplarward/direct/placement.py
@@ -52,6 +52,10 @@
     return fill * candidate.slowness + FAILURE_WEIGHT * candidate.failure_share
 
 
+def _room(candidate: Candidate, max_fill: float) -> float:
+    return max(1.0, max_fill * candidate.n_slots / max(candidate.slowness, 1.0))
+
+
 def choose_upstream(
     candidates: Sequence[Candidate],
     tried: Collection[str],
@@ -68,7 +72,8 @@
     rng : random.Random
         Breaks ties, so that hosts that decide at once don't choose alike.
     max_fill : float
-        Requests in hand over slots at which an upstream has no room.
+        Requests in hand over slots at which an upstream has no room. A slow one has as
+        much less as it is slower: in a rank group, what it runs holds up all others.
 
     Examples
     --------
@@ -78,7 +83,7 @@
     >>> choose_upstream([busy], (), random.Random(1), max_fill=1.0) is None
     True
     """
-    open_ones = [c for c in candidates if c.n_in_hand < max_fill * c.n_slots]
+    open_ones = [c for c in candidates if c.n_in_hand < _room(c, max_fill)]
     fresh = [c for c in open_ones if c.id not in tried] or open_ones
     if not fresh:
         return None
--- a/poplarward/direct/service_load.py
+++ b/poplarward/direct/service_load.py
@@ -36,6 +36,7 @@
     ranks: Sequence[Candidate],
     pace: Pace,
     objective_ms: float,
+    shifted_skew: float,
 ) -> ServiceLoad:
     """Return how busy a service is, for streams with a pauses' objective."""
     n_running = sum(rank.n_in_hand for rank in ranks)
@@ -47,7 +48,9 @@
     fixed_ms = engine.step_ms * engine.steps_per_pass * slowest
     most_running = min(
         max_running(n_running, n_places, pause_ms, fixed_ms, objective_ms),
-        max_running_before_shift(engine, len(ranks), n_places, fixed_ms, objective_ms),
+        max_running_before_shift(
+            engine, len(ranks), n_places, fixed_ms, objective_ms, shifted_skew
+        ),
     )
     return ServiceLoad(n_running, most_running, pause_ms)
 
--- a/poplarward/direct/upstreams.py
+++ b/poplarward/direct/upstreams.py
@@ -14,7 +14,7 @@
 
 FAILURE_SMOOTHING = 0.1  # Ten answers tell a grey upstream from one bad answer.
 LATENCY_SMOOTHING = 0.2
-IDLE_CONNECTIONS = 8  # A few more than the slots that one host uses at once.
+IDLE_CONNECTIONS = 4  # As many as one host uses at once; upstreams bound all hosts.
 MIN_LATENCIES = 3  # Upstreams with a known latency before any counts as slow.
 MAX_SLOWNESS = 10.0
 
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -111,6 +111,7 @@
             self.is_serving,
             self._beliefs.upstreams.take_loads_of_others,
             self._beliefs.upstreams.take_slowness,
+            self._beliefs.take_shifted_skews,
         )
         self._beliefs.on_load_change = self._exchange.note_load
         self._steward = MapSteward(
@@ -189,6 +190,7 @@
             self._beliefs.upstreams.own_loads(),
             self._steward.slowness(),
             self._beliefs.slowed_services(),
+            self._steward.shifted_skews(),
         )
 
     def _share_slowness(self) -> None:
--- a/tests/direct/test_batch_limit.py
+++ b/tests/direct/test_batch_limit.py
@@ -171,3 +171,13 @@
     late = await _place(beliefs, OBJECTIVE_MS, on_time_until_ms=0.0)
     assert isinstance(late, Refused)
     assert isinstance(await _place(beliefs, OBJECTIVE_MS), Placed)
+
+
+def test_group_whose_shifts_are_mild_may_run_more():
+    """More experts share the load: a shift makes passes little longer."""
+    beliefs = _beliefs(0)
+    unknown = beliefs.load_of("llm", OBJECTIVE_MS).most_running
+    beliefs.take_shifted_skews({"llm": 1.6})
+    assert beliefs.load_of("llm", OBJECTIVE_MS).most_running > N_PLACES > unknown
+    beliefs.take_shifted_skews({"llm": 3.8})
+    assert beliefs.load_of("llm", OBJECTIVE_MS).most_running < N_PLACES
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -2,11 +2,13 @@
 
 import random
 
+import cbor2
 import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
+from poplarward.direct import load_exchange
 from poplarward.direct.load_exchange import (
     HostBeat,
     HostState,
@@ -263,6 +265,13 @@
     assert isinstance(beat, HostBeat)
 
 
+def test_beats_of_earlier_and_later_releases_are_understood():
+    beat = HostBeat("a", "s", 1, "10.0.0.1:1", True, {"u": 2}, {}, False)
+    version, *fields = cbor2.loads(encode_beat(beat))
+    assert decode_beat(cbor2.dumps([version, *fields[:8]])) == beat
+    assert decode_beat(cbor2.dumps([version, *fields, "new"])) == beat
+
+
 def test_beat_of_another_format_is_refused():
     beat = HostBeat("a", "s", 1, "10.0.0.1:1", True, {}, {}, False)
     data = bytearray(encode_beat(beat))
@@ -285,6 +294,17 @@
     assert max(n_in_hand.values()) <= 5
 
 
+def test_slow_rank_is_not_filled_when_the_others_are():
+    """A burst fills the group; each request at the slow rank holds up all passes."""
+    others = [Candidate(f"u{n}", 5, 5) for n in range(5)]
+    rng = random.Random(1)
+    for slowness, n_taken in ((4.2, 1), (12.0, 1), (2.0, 2)):
+        slow = Candidate("slow", 0, 5, slowness=slowness)
+        while choose_upstream([*others, slow], (), rng, 1.0) is not None:
+            slow = slow._replace(n_in_hand=slow.n_in_hand + 1)
+        assert n_taken <= slow.n_in_hand <= n_taken + 1
+
+
 def test_estimate_of_a_length_counts_up_to_the_bound_only():
     """A caller's estimate of 990 tokens where 396 are the most, at a usual pace."""
     request = _request("/write/1", "k-1")._replace(
@@ -357,6 +377,40 @@
     assert hosts.leaders() == ["b"]
 
 
+def test_hosts_that_start_together_agree_on_the_first_by_name(monkeypatch):
+    """All lost power; each serves as soon as it has read the store."""
+    clock_ms = [0.0]
+    monkeypatch.setattr(load_exchange, "now_ms", lambda: clock_ms[0])
+    monkeypatch.setattr(
+        load_exchange, "elapsed_ms", lambda since_ms: clock_ms[0] - since_ms
+    )
+    hosts = Hosts("a", "b")
+    hosts.exchanges["a"]._opened_at_ms = 250.0
+    hosts.exchanges["b"]._opened_at_ms = 0.0
+    hosts.serving = {"b"}
+    clock_ms[0] = 200.0
+    assert hosts.leaders() == []
+    hosts.serving = {"a", "b"}
+    clock_ms[0] = 300.0
+    hosts.beat()
+    clock_ms[0] = 450.0
+    assert hosts.leaders() == []
+    clock_ms[0] = 700.0
+    hosts.beat()
+    assert hosts.leaders() == ["a"]
+    assert hosts.exchanges["a"].ms_since_other_led() > 1e6
+
+
+def test_leader_that_gives_up_the_lead_is_not_waited_for():
+    hosts = Hosts("a", "b")
+    hosts.exchanges["b"]._has_lead = True
+    hosts.beat()
+    assert hosts.exchanges["a"].ms_since_other_led() < 1_000
+    hosts.exchanges["b"]._has_lead = False
+    hosts.beat()
+    assert hosts.exchanges["a"].ms_since_other_led() > 1e6
+
+
 def test_of_two_leaders_that_hear_each_other_again_one_stays():
     hosts = Hosts("a", "b")
     assert hosts.leaders() == ["a", "b"]  # Cut off from each other.
--- a/tests/direct/test_map_steward.py
+++ b/tests/direct/test_map_steward.py
@@ -200,3 +200,17 @@
     await trio.sleep(1.0)
     assert site.control.n_counts_read > n_read
     nursery.cancel_scope.cancel()
+
+
+async def test_skew_after_a_shift_is_told(autojump_clock, nursery):
+    site = Site()
+    await site.start(nursery)
+    await trio.sleep(3.0)
+    site.control.shift(SHIFTED)  # For a first map of its own.
+    await trio.sleep(8.0)
+    site.control.shift(SHIFTED[::-1])
+    await trio.sleep(8.0)
+    assert site.steward.shifted_skews()["llm"] > 1.5
+    await trio.sleep(60.0)
+    assert site.steward.shifted_skews()["llm"] < 1.5
+    nursery.cancel_scope.cancel()
