Bound what runs by the longest pauses of late, not the mean ones

Passes differ by the prompts that are read in between. Change: Pace keeps a slowly falling peak, no more than 1.25 times the level; a single pause counts up to three times the mean, so that a lost packet does not send callers away. The bound is 0.95 of the objective for peaks.

--- a/poplarward/direct/batch_limit.py
+++ b/poplarward/direct/batch_limit.py
@@ -15,7 +15,8 @@
 
 __all__ = ["max_running", "max_running_before_shift"]
 
-OBJECTIVE_PART = 0.9  # Passes differ by a prompt or two that are read in between.
+OBJECTIVE_PART = 0.95  # Of peaks, so that those of the next passes are within it.
+SHIFT_PART = 0.9  # Of means, for the second or so until the next map is in force.
 MIN_FILL = 0.5  # Of all places; with fewer taken a pass is mostly its fixed time.
 DEFAULT_SHIFTED_SKEW = 4.0  # Of a first map; until a group's own is known.
 
@@ -38,7 +39,7 @@
     n_places : int
         Requests that fit on all ranks.
     pause_ms : float or None
-        Pause between events now, None if it is not known.
+        Longest pause between events of late, None if it is not known.
     fixed_ms : float
         Time of a pass without requests.
     objective_ms : float
@@ -99,7 +100,7 @@
     read_ms = 1000 * engine.mean_prompt_tokens / engine.read_tokens_per_s / passes
     skew_factor = 1 + engine.expert_share * (shifted_skew - 1)
     request_ms = (write_ms * n_steps + read_ms) * skew_factor
-    room_ms = OBJECTIVE_PART * objective_ms - fixed_ms
+    room_ms = SHIFT_PART * objective_ms - fixed_ms
     if room_ms <= 0 or request_ms <= 0:
         return float("inf")
     return max(MIN_FILL * n_places, n_ranks * room_ms / request_ms)
--- a/poplarward/direct/pace.py
+++ b/poplarward/direct/pace.py
@@ -14,6 +14,9 @@
 
 SMOOTHING_MS = 600.0  # Some ten passes; a slow rank shows within a second.
 RECENT_SMOOTHING_MS = 120.0  # Two passes; a change of demand shows at once.
+PEAK_SMOOTHING_MS = 800.0  # Some passes; prompts lengthen one in a few of them.
+MAX_JUMP_RATIO = 3.0  # Of one pause over the mean; a lost packet makes a longer one.
+MAX_PEAK_RATIO = 1.25  # Passes of a steady load differ by less.
 JUMP_RATIO = 1.3  # Pauses of steady work differ less from one pass to the next.
 FORGOTTEN_AFTER_MS = 1_500.0  # Without events so long, nothing is known.
 SAFETY_RATIO = 1.25  # Callers' estimates are right at the median only.
@@ -35,6 +38,7 @@
     def __init__(self) -> None:
         self._pause_ms = 0.0
         self._recent_ms = 0.0
+        self._peak_ms = 0.0
         self._noted_at_ms: float | None = None
 
     def note(self, pause_ms: float, at_ms: float | None = None) -> None:
@@ -42,13 +46,17 @@
         at_ms = now_ms() if at_ms is None else at_ms
         held_at_ms = self._noted_at_ms
         if held_at_ms is None or at_ms - held_at_ms > FORGOTTEN_AFTER_MS:
-            self._pause_ms = self._recent_ms = pause_ms
+            self._pause_ms = self._recent_ms = self._peak_ms = pause_ms
         else:
             elapsed_ms = at_ms - held_at_ms
+            pause_ms = min(pause_ms, MAX_JUMP_RATIO * self._pause_ms)
             part = min(1.0, elapsed_ms / SMOOTHING_MS)
             self._pause_ms += part * (pause_ms - self._pause_ms)
             part = min(1.0, elapsed_ms / RECENT_SMOOTHING_MS)
             self._recent_ms += part * (pause_ms - self._recent_ms)
+            part = min(1.0, elapsed_ms / PEAK_SMOOTHING_MS)
+            self._peak_ms += part * (self._pause_ms - self._peak_ms)
+            self._peak_ms = max(self._peak_ms, pause_ms)
         self._noted_at_ms = at_ms
 
     def pause_ms(self, at_ms: float | None = None) -> float | None:
@@ -59,9 +67,16 @@
         return self._pause_ms
 
     def highest_ms(self, at_ms: float | None = None) -> float | None:
-        """Return the mean pause, or that of the last passes if it is longer."""
+        """Return the longest pause of the last passes.
+
+        One that is far above all others is that of one stream, such as after a lost
+        packet, and counts as far as passes may differ only.
+        """
         mean_ms = self.pause_ms(at_ms)
-        return None if mean_ms is None else max(mean_ms, self._recent_ms)
+        if mean_ms is None:
+            return None
+        level_ms = max(mean_ms, self._recent_ms)
+        return min(max(level_ms, self._peak_ms), MAX_PEAK_RATIO * level_ms)
 
     def has_jumped(self, at_ms: float | None = None) -> bool:
         """Whether the last pauses are clearly longer than those before.
--- a/tests/direct/test_batch_limit.py
+++ b/tests/direct/test_batch_limit.py
@@ -6,6 +6,7 @@
 from poplarward.direct.batch_limit import max_running, max_running_before_shift
 from poplarward.direct.beliefs import Beliefs
 from poplarward.direct.model import EngineProfile, Service, UpstreamEntry
+from poplarward.direct.pace import Pace
 from poplarward.direct.retry_share import RetryBounds
 from poplarward.direct.waiting import Placed, Refused, WantedPlace
 from tests.direct.relay_path import configuration
@@ -127,6 +128,22 @@
     assert most == float("inf")
 
 
+def test_pauses_that_differ_are_bounded_by_their_longest():
+    """Prompts that are read in between lengthen every fourth pass."""
+    pace = Pace()
+    for number in range(40):
+        pace.note(118.0 if number % 4 == 0 else 90.0, at_ms=95.0 * number)
+    assert pace.pause_ms(95.0 * 39) < 105.0
+    assert pace.highest_ms(95.0 * 39) > 108.0
+
+
+def test_packet_lost_on_one_stream_is_not_taken_for_a_long_pass():
+    pace = Pace()
+    for number in range(40):
+        pace.note(900.0 if number == 38 else 60.0, at_ms=30.0 * number)
+    assert pace.highest_ms(30.0 * 39) < 2.5 * 60.0
+
+
 def _beliefs(n_running):
     beliefs = Beliefs(
         1_000.0,
