--- a/tests/direct/test_batch_limit.py
+++ b/tests/direct/test_batch_limit.py
@@ -3,9 +3,10 @@
 import random
 from typing import NamedTuple
 
+from benchmarks.worst_load import ENGINE
 from poplarward.direct.batch_limit import max_running, max_running_before_shift
 from poplarward.direct.beliefs import Beliefs
-from poplarward.direct.model import EngineProfile, Service, UpstreamEntry
+from poplarward.direct.model import Service, UpstreamEntry
 from poplarward.direct.pace import Pace
 from poplarward.direct.retry_share import RetryBounds
 from poplarward.direct.waiting import Placed, Refused, WantedPlace
@@ -24,26 +25,6 @@
 SHIFT_MS = 1_500.0  # Until the next map is in force.
 SKEW = 4.0
 
-ENGINE = EngineProfile(
-    n_slots=N_SLOTS,
-    kv_tokens=247_000,
-    step_ms=4.84,
-    per_sequence_ms=0.7,
-    context_ms_per_k_tokens=0.02,
-    read_tokens_per_s=74_800.0,
-    steps_per_pass=6,
-    report_lag_ms=200.0,
-    mean_prompt_tokens=835.0,
-    mean_answer_tokens=159.0,
-    n_layers=4,
-    n_experts=64,
-    n_places=5,
-    n_spare=2,
-    expert_mb=2_500.0,
-    link_mbps=180_000.0,
-    expert_share=0.85,
-)
-
 
 def test_group_that_is_full_when_demand_shifts_is_not_late():
     """A backlog fills the group; the shift comes before any of it has ended."""
--- a/tests/direct/test_map_steward.py
+++ b/tests/direct/test_map_steward.py
@@ -6,13 +6,13 @@
 import trio
 from trio.testing import MockClock
 
+from benchmarks.worst_load import ENGINE
 from poplarward.direct.beliefs import Beliefs
 from poplarward.direct.map_steward import MapSteward
 from poplarward.direct.model import Service, UpstreamEntry
 from poplarward.direct.retry_share import RetryBounds
 from tests.direct.relay_path import configuration
 from tests.direct.simulated_group import SimulatedGroup
-from tests.direct.test_batch_limit import ENGINE
 
 N_RANKS = 4
 PROFILE = ENGINE._replace(
