--- a/benchmarks/platform_slopes.py
+++ b/benchmarks/platform_slopes.py
@@ -21,7 +21,11 @@
 from poplarward.direct.load_exchange import HostBeat, decode_beat, encode_beat
 from poplarward.direct.map_planner import GroupPlanner
 from poplarward.direct.model import EngineProfile
+from poplarward.direct.pace import Pace
 from poplarward.direct.placement import Candidate, choose_upstream
+from poplarward.direct.service_load import service_load
+
+from .worst_load import ENGINE
 
 __all__ = ["measure"]
 
@@ -57,10 +61,15 @@
     candidates = [
         Candidate(f"u{n}", rng.randrange(6), 6, n_base=6.7) for n in range(n_upstreams)
     ]
+    pace = Pace()
+    pace.note(60.0)
     return {
         f"placement_us_{n_upstreams}": _time_us(
             lambda: choose_upstream(candidates, (), rng, 1.0)
-        )
+        ),
+        f"load_us_{n_upstreams}": _time_us(
+            lambda: service_load(ENGINE, candidates, pace, 120.0, 4.0)
+        ),
     }
 
 
