Give maps the time that their link takes, and the lead to the fastest link

The lead passed to a host with a link of 14 Mbit/s; a map of 72 ranks is 11 kB to each, 0.8 MB in all, half a second there. Every prepare ran into 150 ms, was sent again up to six times, the link was full, and so were the requests that this host relayed (128 failed). Ruled out: ranks that don't answer (others' orders went through before and after). Change: a prepare may take the time of all maps over the host's link beside; maps are encoded once and without blanks (9 kB); beats tell the link's rate, and of hosts that serve the one with the fastest leads, the first by name among equals. Tests: test_rank_control (slow link: red with the former time; dropped connection), test_host_with_the_fastest_link_takes_the_lead.

--- a/poplarward/direct/load_exchange.py
+++ b/poplarward/direct/load_exchange.py
@@ -59,6 +59,8 @@
     shifted_skews : dict
         By service, the busiest rank's work over the mean on a map made for another
         demand, as the host that tends the maps has seen of late.
+    link_mbps : float
+        Rate of the host's link, 0 if it does not say.
     """
 
     host: str
@@ -71,6 +73,7 @@
     is_leading: bool
     slowed_services: Sequence[str] = ()
     shifted_skews: dict[str, float] = {}
+    link_mbps: float = 0.0
 
 
 class HostState(NamedTuple):
@@ -105,6 +108,7 @@
         slowed = tuple(map(str, beat.slowed_services))
         skews = {str(key): float(x) for key, x in beat.shifted_skews.items()}
         is_sound = isinstance(beat.host, str) and isinstance(beat.number, int)
+        is_sound = is_sound and isinstance(beat.link_mbps, (int, float))
     except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as error:
         raise DecodeError(f"not a beat: {error}") from error
     if version != FORMAT or not is_sound:
@@ -137,6 +141,9 @@
         Called with the slow ranks that any host has read of.
     on_skews : callable
         Called with the shifted skews that another host has told.
+    link_mbps : float
+        Rate of this host's link. New maps of a whole group have to pass the link of
+        the host that tends it, so the fastest is preferred.
     """
 
     def __init__(
@@ -148,7 +155,9 @@
         on_change: Callable[[dict[str, float]], None],
         on_slowness: Callable[[dict[str, float]], None] = lambda slowness: None,
         on_skews: Callable[[dict[str, float]], None] = lambda skews: None,
+        link_mbps: float = 0.0,
     ):
+        self._link_mbps = link_mbps
         self._on_skews = on_skews
         self._on_slowness = on_slowness
         self.host = host
@@ -204,7 +213,8 @@
         """Whether this host is to tend the rank groups' maps, for all hosts alike.
 
         Whoever does so keeps on while it serves: a successor has to learn first.
-        Without such a host, and of several, it is the first by name.
+        Without such a host, and of several, it is the one with the fastest link, the
+        first by name among equals.
         """
         is_new = elapsed_ms(self._opened_at_ms) < LEAD_AFTER_START_MS
         if is_new or not self._is_serving():
@@ -212,11 +222,12 @@
             return False
         beats = self.live(LEAD_SILENT_AFTER_MS)
         serving = [beat for beat in beats if beat.is_serving]
-        leading = [beat.host for beat in serving if beat.is_leading]
+        leading = [beat for beat in serving if beat.is_leading]
         if leading and not self._has_lead:
             return False
-        rivals = leading if self._has_lead else [beat.host for beat in serving]
-        self._has_lead = all(self.host < name for name in rivals)
+        rivals = leading if self._has_lead else serving
+        own_rank = -self._link_mbps, self.host
+        self._has_lead = all(own_rank < (-b.link_mbps, b.host) for b in rivals)
         return self._has_lead
 
     def ms_since_other_led(self) -> float:
@@ -244,6 +255,7 @@
             self._has_lead,
             state.slowed_services,
             state.shifted_skews,
+            self._link_mbps,
         )
         data = encode_beat(beat)
         for endpoint in list(self._endpoints):
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -112,11 +112,12 @@
             self._beliefs.upstreams.take_loads_of_others,
             self._beliefs.upstreams.take_slowness,
             self._beliefs.take_shifted_skews,
+            settings.link_mbps,
         )
         self._beliefs.on_load_change = self._exchange.note_load
         self._steward = MapSteward(
             self._beliefs,
-            PlatformRankControl(self._beliefs.upstreams),
+            PlatformRankControl(self._beliefs.upstreams, settings.link_mbps),
             self._exchange,
             rng,
             self._share_slowness,
--- a/poplarward/platform/rank_control.py
+++ b/poplarward/platform/rank_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 from typing import Any
 
@@ -19,6 +20,7 @@
 
 READ_TIMEOUT_S = 0.4  # Reports and counts are answered in a few ms.
 ORDER_TIMEOUT_S = 0.15  # Orders too; one without an answer is given again.
+TIMED_OUT = b"timeout"
 MAX_ANSWER_BYTES = 4_194_304
 
 log = get_logger("ranks")
@@ -28,10 +30,17 @@
     """Speaks to the workers in an upstream table.
 
     See `poplarward.direct.rank_group.RankControl`.
+
+    Parameters
+    ----------
+    upstreams : UpstreamTable
+    link_mbps : float
+        Rate of this host's link, which a whole group's maps have to pass.
     """
 
-    def __init__(self, upstreams: UpstreamTable):
+    def __init__(self, upstreams: UpstreamTable, link_mbps: float):
         self._upstreams = upstreams
+        self._link_bytes_per_s = link_mbps * 1e6 / 8
 
     async def report(self, upstream_id: str) -> RankReport | None:
         """Return the rank's state."""
@@ -72,48 +81,55 @@
         self, upstream_id: str, epoch: int, version: int, layers: list[Layer]
     ) -> OrderResult:
         """Have the rank copy the experts of a map that are new to it."""
-        rows = [[list(row) for row in layer] for layer in layers]
+        body = _prepare_body(epoch, version, tuple(layers))
+        n_ranks = len(layers[0])
+        # All ranks are ordered at once, each with the whole map.
+        timeout_s = ORDER_TIMEOUT_S + n_ranks * len(body) / self._link_bytes_per_s
         return await self._order(
-            upstream_id,
-            epoch,
-            {"operation": "prepare", "version": version, "map": rows},
+            upstream_id, {"operation": "prepare", "version": version}, body, timeout_s
         )
 
     async def arm(
         self, upstream_id: str, epoch: int, version: int, step: int
     ) -> OrderResult:
         """Have the rank switch to a map as a pass begins."""
-        return await self._order(
+        return await self._short_order(
             upstream_id, epoch, {"operation": "arm", "version": version, "step": step}
         )
 
     async def disarm(self, upstream_id: str, epoch: int, version: int) -> OrderResult:
         """Take back an armed map."""
-        return await self._order(
+        return await self._short_order(
             upstream_id, epoch, {"operation": "disarm", "version": version}
         )
 
     async def hold(self, upstream_id: str, epoch: int, step: int) -> OrderResult:
         """Keep the whole group from beginning a pass."""
-        return await self._order(
+        return await self._short_order(
             upstream_id, epoch, {"operation": "hold", "step": step}
         )
 
     async def go(self, upstream_id: str, epoch: int, step: int) -> OrderResult:
         """End a hold."""
-        return await self._order(upstream_id, epoch, {"operation": "go", "step": step})
+        return await self._short_order(
+            upstream_id, epoch, {"operation": "go", "step": step}
+        )
 
-    async def _order(
+    async def _short_order(
         self, upstream_id: str, epoch: int, order: dict[str, Any]
     ) -> OrderResult:
-        order["epoch"] = epoch
-        body = json.dumps(order).encode()
+        body = json.dumps({**order, "epoch": epoch}).encode()
+        return await self._order(upstream_id, order, body, ORDER_TIMEOUT_S)
+
+    async def _order(
+        self, upstream_id: str, order: dict[str, Any], body: bytes, timeout_s: float
+    ) -> OrderResult:
         headers = [
             (b"Content-Type", b"application/json"),
             (b"Content-Length", b"%d" % len(body)),
         ]
         status, text = await self._call(
-            upstream_id, "POST", "/order", headers, body, ORDER_TIMEOUT_S
+            upstream_id, "POST", "/order", headers, body, timeout_s
         )
         match status:
             case 200 | 202:
@@ -127,7 +143,6 @@
                 "ranks.order",
                 upstream=upstream_id,
                 order=order["operation"],
-                epoch=epoch,
                 step=order.get("step"),
                 version=order.get("version"),
                 status=status,
@@ -138,7 +153,7 @@
     async def _get(self, upstream_id: str, path: str) -> Any | None:
         call = upstream_id, "GET", path, [], b"", READ_TIMEOUT_S
         status, body = await self._call(*call, max_idle_s=float("inf"))
-        if status == 0:
+        if status == 0 and body != TIMED_OUT:
             # The connection may have been dropped while it was idle.
             status, body = await self._call(*call, max_idle_s=0.0)
         if status != 200:
@@ -177,7 +192,7 @@
                 is_whole = True
                 return head.status, content
         except (UpstreamUnreachable, trio.TooSlowError) as error:
-            return 0, (str(error) or "timeout").encode()
+            return 0, str(error).encode() or TIMED_OUT
         finally:
             if connection is not None and is_whole:
                 await upstream.pool.give_back(connection)
@@ -185,6 +200,12 @@
                 await connection.close()
 
 
+@functools.lru_cache(maxsize=2)
+def _prepare_body(epoch: int, version: int, layers: tuple[Layer, ...]) -> bytes:
+    order = {"operation": "prepare", "version": version, "map": layers, "epoch": epoch}
+    return json.dumps(order, separators=(",", ":")).encode()
+
+
 def decode_report(upstream_id: str, document: Any) -> RankReport:
     """Return a report; raises `FindingsError`."""
     reader = FieldReader(f"report of {upstream_id}", document)
--- a/poplarward/platform/settings.py
+++ b/poplarward/platform/settings.py
@@ -28,6 +28,8 @@
     store_address : str
     max_sockets : int
         File descriptors less those that are kept for files.
+    link_mbps : float
+        Rate of this host's own link.
     reserved for the rules' bounds: revocation_ms, stop_ms, retry_ratio, retry_fixed,
     retry_window_s, gone_ms, stall_ms
     """
@@ -42,6 +44,7 @@
     seed_ips: tuple[str, ...]
     store_address: str
     max_sockets: int
+    link_mbps: float
     revocation_ms: float
     stop_ms: float
     retry_ratio: float
@@ -51,6 +54,7 @@
     stall_ms: float
 
 
+DEFAULT_LINK_MBPS = 100.0  # Where the platform does not say; few hosts have less.
 FILE_DESCRIPTORS_FOR_FILES = 200  # The platform keeps these of `maxFds`.
 
 
@@ -83,6 +87,7 @@
         store_address=_address(reader.table("platform"), "address"),
         max_sockets=reader.table("limits").integer("maxFds")
         - FILE_DESCRIPTORS_FOR_FILES,
+        link_mbps=reader.table("limits").number("linkMbps", DEFAULT_LINK_MBPS),
         revocation_ms=bounds.number("revokeMs"),
         stop_ms=bounds.number("graceS") * 1000,
         retry_ratio=bounds.number("retryBudgetRatio"),
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -350,6 +350,7 @@
                 {},
                 {},
                 exchange._has_lead,
+                link_mbps=exchange._link_mbps,
             )
             exchange._number += 1
             for other in self.exchanges.values():
@@ -401,6 +402,15 @@
     assert hosts.exchanges["a"].ms_since_other_led() > 1e6
 
 
+def test_host_with_the_fastest_link_takes_the_lead():
+    """A map of 72 ranks is 0.7 MB: half a second on the slowest links."""
+    hosts = Hosts("a", "b", "c")
+    for name, link_mbps in (("a", 14.0), ("b", 100.0), ("c", 100.0)):
+        hosts.exchanges[name]._link_mbps = link_mbps
+    hosts.beat()
+    assert hosts.leaders() == ["b"]
+
+
 def test_leader_that_gives_up_the_lead_is_not_waited_for():
     hosts = Hosts("a", "b")
     hosts.exchanges["b"]._has_lead = True
--- /dev/null
+++ b/tests/platform/test_rank_control.py
@@ -0,0 +1,64 @@
+"""Orders and reads of ranks, over loopback."""
+
+from __future__ import annotations
+
+import json
+from contextlib import asynccontextmanager
+
+import trio
+
+from poplarward.direct.model import UpstreamEntry
+from poplarward.direct.rank_group import OrderResult
+from poplarward.direct.upstreams import UpstreamTable
+from poplarward.platform.rank_control import PlatformRankControl
+from tests.direct.relay_path import Upstream, response
+
+N_RANKS = 72
+LAYERS = [tuple((rank, rank + 1, rank + 2) for rank in range(N_RANKS))] * 12
+
+
+@asynccontextmanager
+async def rank(upstream, link_mbps):
+    """Run one rank; yields its control."""
+    table = UpstreamTable()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(upstream.serve)
+        address = f"127.0.0.1:{upstream.port}"
+        table.put(UpstreamEntry("u0", "llm", address, "a", 5, False, 1))
+        yield PlatformRankControl(table, link_mbps)
+        await table.get("u0").pool.close()
+        nursery.cancel_scope.cancel()
+
+
+async def test_map_is_waited_for_as_long_as_the_link_takes_it_to_all_ranks():
+    """72 ranks get 9 kB each over a link of 14 Mbit/s."""
+
+    async def accept_after_queue(stream, request):
+        await trio.sleep(0.35)
+        await stream.send_all(response(request, 202, b"", request_id="r"))
+
+    upstream = Upstream(accept_after_queue)
+    async with rank(upstream, link_mbps=14.0) as control:
+        result = await control.prepare("u0", 1, 7, LAYERS)
+    assert result is OrderResult.ACCEPTED
+    order = json.loads(upstream.seen[0].body)
+    assert order["map"] == [[list(row) for row in layer] for layer in LAYERS]
+    assert (order["operation"], order["version"], order["epoch"]) == ("prepare", 7, 1)
+
+
+async def test_read_on_a_dropped_connection_is_asked_again():
+    """An upstream drops idle connections without a word."""
+    n_requests = {}
+
+    async def lost_if_reused(stream, request):
+        n_requests[stream] = n_requests.get(stream, 0) + 1
+        if n_requests[stream] > 1:
+            return False
+        body = b'{"step": 3, "counts": [1]}'
+        await stream.send_all(response(request, 200, body, request_id="r"))
+
+    upstream = Upstream(*[lost_if_reused] * 3)
+    async with rank(upstream, link_mbps=100.0) as control:
+        assert await control.counts("u0") == (3, [1])
+        assert await control.counts("u0") == (3, [1])
+    assert len(upstream.seen) == 3
