Give the examples of the batch limit its present part

The part of the objective went from 0.9 to 0.95 with the bound by peaks, and two examples of a docstring still had the former figures (84 and 56 are 0.95 of 120 less 30, by 60 of 60 and 80 of 120).

--- a/poplarward/direct/batch_limit.py
+++ b/poplarward/direct/batch_limit.py
@@ -54,9 +54,9 @@
     Examples
     --------
     >>> round(max_running(60, 96, pause_ms=90.0, fixed_ms=30.0, objective_ms=120.0))
-    78
+    84
     >>> round(max_running(80, 96, pause_ms=150.0, fixed_ms=30.0, objective_ms=120.0))
-    52
+    56
     >>> max_running(80, 96, pause_ms=400.0, fixed_ms=300.0, objective_ms=120.0)
     inf
     """
