Say in one place which host tends the expert maps

Formatter, linter, tests/direct/test_map_steward.py and tests/test_docs.py pass; the whole suite, of six minutes, was not run on it.

--- a/poplarward/direct/map_steward.py
+++ b/poplarward/direct/map_steward.py
@@ -1,7 +1,7 @@
 """Keeps the rank groups of a deployment on even expert maps.
 
-One entry host at a time does this: the first by name of those that serve. Two that
-do so for a moment, because a beat was late, harm nothing: see `map_changes`.
+One entry host at a time does this, see `LoadExchange.takes_lead`. Two that do so for a
+moment, because a beat was late, harm nothing: see `map_changes`.
 """
 
 from __future__ import annotations
