Log broken connections with the request's digest; count retries by service

The hypotheses could not be told apart from logs and metrics: a request that comes again has a new id, no line told that an upstream closed the connection under a request, and retries were not counted.

attempt.disconnected has the digest that the agents' path uses (request_digest, over host, workspace, method, path and body; the service is left out, as a route may split its requests among several). request.retried tells the service and whether the retry counts against the budget. poplarward_retries_total counts what the budget allowed and refused. No decision is changed; tests/direct and tests/platform pass as before.

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -101,6 +101,15 @@
                 upstream.record_success(self._latency_ms(job, started_at_ms))
             return result
         except UpstreamUnreachable as error:
+            log.info(
+                "attempt.disconnected",
+                request=job.request.id,
+                digest=f"{job.digest:016x}",
+                upstream=upstream.entry.id,
+                reason=str(error),
+                ran_ms=int(elapsed_ms(started_at_ms)),
+                idle_ms=int(1000 * connection.idle_before_use_s),
+            )
             if (
                 connection.idle_before_use_s > SAFE_IDLE_S
                 and not connection.has_received_bytes
--- a/poplarward/direct/job.py
+++ b/poplarward/direct/job.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from ..protocol.outcomes import Outcome
+from ..requests.suspects import request_digest
 from ..transport.http1_server import Exchange
 from .clock import now_ms
 from .model import CallerRequest, Route
@@ -39,6 +41,20 @@
     longest_pause_ms: float = 0.0
     n_events: int = 0
 
+    @cached_property
+    def digest(self) -> int:
+        """Digest that is the same whenever the request comes, at any entry host.
+
+        The service is left out: a route may split its requests among several.
+        """
+        return request_digest(
+            self.request.host,
+            self.workspace or "",
+            self.exchange.head.method,
+            self.request.path,
+            self.exchange.body,
+        )
+
     def left_ms(self) -> float:
         """Return the time until the final answer is due."""
         return self.deadline_ms - now_ms()
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -169,7 +169,7 @@
             )
             match step:
                 case Retry():
-                    self._log.log_retry(job, failure.reason)
+                    self._log.log_retry(job, failure)
                 case GiveUp(reason):
                     await self._give_up(
                         job, reason, failure.retry_after_ms, failed_response
--- a/poplarward/direct/request_log.py
+++ b/poplarward/direct/request_log.py
@@ -9,6 +9,7 @@
 from .clock import elapsed_ms
 
 if TYPE_CHECKING:
+    from ..requests.retries import Failure
     from .job import Job
     from .model import CallerRequest
     from .routing_state import RoutingState
@@ -45,14 +46,16 @@
         )
         self._metrics.count_outcome("none", "none", f"denied-{status}")
 
-    def log_retry(self, job: Job, reason: str) -> None:
+    def log_retry(self, job: Job, failure: Failure) -> None:
         """Log a failed attempt that is followed by another."""
         log.info(
             "request.retried",
             request=job.request.id,
+            service=job.service,
             tried=",".join(job.tried),
-            reason=reason,
+            reason=failure.reason,
             outcome=job.outcome.value,
+            in_budget=not failure.is_planned,
             left_ms=int(job.left_ms()),
         )
 
--- a/poplarward/direct/retry_budgets.py
+++ b/poplarward/direct/retry_budgets.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from .clock import now_ms
 
@@ -75,6 +76,8 @@
         See `HostRetryBudget`.
     count_hosts : callable
         Returns the number of serving entry hosts.
+    on_decision : callable
+        Called with the service and whether a retry was allowed.
     """
 
     def __init__(
@@ -83,9 +86,11 @@
         fixed: float,
         window_s: float,
         count_hosts: Callable[[], int],
+        on_decision: Callable[[str, bool], None] = lambda service, is_allowed: None,
     ):
         self._arguments = ratio, fixed, window_s
         self._count_hosts = count_hosts
+        self._on_decision = on_decision
         self._budgets: dict[str, ServiceRetryBudget] = {}
 
     def for_service(self, service: str) -> ServiceRetryBudget:
@@ -94,7 +99,7 @@
         if service_budget is None:
             budget = HostRetryBudget(*self._arguments)
             service_budget = self._budgets[service] = ServiceRetryBudget(
-                budget, self._count_hosts
+                budget, self._count_hosts, partial(self._on_decision, service)
             )
         return service_budget
 
@@ -102,9 +107,15 @@
 class ServiceRetryBudget:
     """Retry budget of this host towards one service."""
 
-    def __init__(self, budget: HostRetryBudget, count_hosts: Callable[[], int]):
+    def __init__(
+        self,
+        budget: HostRetryBudget,
+        count_hosts: Callable[[], int],
+        on_decision: Callable[[bool], None],
+    ):
         self._budget = budget
         self._count_hosts = count_hosts
+        self._on_decision = on_decision
 
     def record_request(self) -> None:
         """Count a request's first attempt."""
@@ -112,4 +123,6 @@
 
     def take(self) -> bool:
         """Take one retry; returns whether one was left."""
-        return self._budget.take(now_ms() / 1000, self._count_hosts())
+        is_allowed = self._budget.take(now_ms() / 1000, self._count_hosts())
+        self._on_decision(is_allowed)
+        return is_allowed
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -81,6 +81,7 @@
             settings.retry_fixed,
             settings.retry_window_s,
             self._count_hosts,
+            self._metrics.count_retry,
         )
         self._configuration = FeedWatcher(
             "configuration",
--- a/poplarward/telemetry/metrics.py
+++ b/poplarward/telemetry/metrics.py
@@ -87,6 +87,12 @@
             (*_LABELS, "outcome"),
             registry=self.registry,
         )
+        self._retries = Counter(
+            "poplarward_retries",
+            "Retries by service, and whether the retry budget allowed them",
+            ("service", "decision"),
+            registry=self.registry,
+        )
         self.open_requests = Gauge(
             "poplarward_open_requests", "Requests in progress", registry=self.registry
         )
@@ -105,6 +111,11 @@
         """Count a request that has received its final response."""
         self._outcomes.labels(self._label(workspace), priority_class, outcome).inc()
 
+    def count_retry(self, service: str, is_allowed: bool) -> None:
+        """Count a retry that the retry budget of a service allowed or refused."""
+        decision = "allowed" if is_allowed else "refused"
+        self._retries.labels(service, decision).inc()
+
     def observe_answer(
         self,
         workspace: str,
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -30,6 +30,7 @@
     ALLOTTED_FRACTION,
     MAX_SAVED_RATIO,
     HostRetryBudget,
+    RetryBudgets,
 )
 from poplarward.direct.routing_table import Accepted, Denied, RoutingTable
 from poplarward.direct.streams import EventSplitter, StreamError
@@ -66,6 +67,16 @@
     assert ALLOTTED_FRACTION * 2 <= 1 and MAX_SAVED_RATIO >= 1
 
 
+def test_each_decision_on_a_retry_is_reported_with_its_service():
+    decisions = []
+    budgets = RetryBudgets(
+        0.0, 4.0, 1e9, lambda: 4, lambda *decision: decisions.append(decision)
+    )
+    while budgets.for_service("app").take():
+        pass
+    assert decisions[0] == ("app", True) and decisions[-1] == ("app", False)
+
+
 def test_least_loaded_upstream_is_chosen():
     loads = [Candidate(f"u{n}", n, 6) for n in range(6)]
     assert choose_upstream(loads, (), random.Random(1)).id == "u0"
