--- a/tests/direct/relay_harness.py
+++ b/tests/direct/relay_harness.py
@@ -98,7 +98,7 @@
     async def _connection(self, stream):
         self.n_connections += 1
         while True:
-            request = await _read_request(stream)
+            request = await read_request(stream)
             if request is None:
                 return
             self.seen.append(request)
@@ -118,7 +118,8 @@
     body: bytes
 
 
-async def _read_request(stream):
+async def read_request(stream):
+    """Return the next request on a connection, None at its end."""
     connection = h11.Connection(h11.SERVER)
     head, body = None, b""
     while True:
@@ -189,9 +190,9 @@
             % (request.headers["poplarward-request-id"].encode(), STAMP)
         )
         for number in range(first, last + 1):
-            await stream.send_all(_chunk(event(number)))
+            await stream.send_all(chunk(event(number)))
         if half_event:
-            await stream.send_all(_chunk(event(last + 1)[:9]))
+            await stream.send_all(chunk(event(last + 1)[:9]))
         if is_cut:
             return False
         await stream.send_all(b"0\r\n\r\n")
@@ -200,7 +201,8 @@
     return behave
 
 
-def _chunk(data):
+def chunk(data):
+    """Return the bytes of a chunk of a body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -88,22 +88,28 @@
     }
 
 
-def settings_text(ports, store_address):
+def settings_text(
+    ports,
+    store_address,
+    host="front-1",
+    ip="127.0.0.1",
+    seed="127.0.0.1:9",
+):
     """Return a settings file for a process on loopback."""
     front, ready, directory, free = ports
     return f"""
-nodeName = "front-1"
+nodeName = "{host}"
 role = "entry"
 machineClass = "front"
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "bzh-rennes"
 region = "bzh"
 portRange = [{free},{free + 8}]
-seeds = ["127.0.0.1:9"]
+seeds = ["{seed}"]
 [listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-directory = "127.0.0.1:{directory}"
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+directory = "{ip}:{directory}"
 [limits]
 maxFds = 700
 [bounds]
--- a/tests/platform/test_entry_process.py
+++ b/tests/platform/test_entry_process.py
@@ -4,9 +4,7 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 from contextlib import asynccontextmanager
@@ -22,30 +20,9 @@
     request_bytes,
 )
 from tests.platform.documents import config_document, server_document, settings_text
+from tests.platform.entry_process import free_ports
 from tests.platform.store_standin import StoreStandin
 
-# Below the ephemeral ports, so that no connection of another process takes one before
-# the role listens on it.
-FIRST_PORT, LAST_PORT = 12_000, 30_000
-
-
-def free_ports(n_ports):
-    """Return ports that no process listens on."""
-    ports = []
-    # Concurrent runs with the same seed must not choose the same ports.
-    order = list(range(FIRST_PORT, LAST_PORT))
-    random.SystemRandom().shuffle(order)
-    for port in order:
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == n_ports:
-            return ports
-    raise AssertionError("no free ports")
-
 
 class Entry:
     """An entry process, with methods to call it."""
