Refuse requests that crash upstreams on the platform's path

Cause: the agents' path recognises such requests, but the platform's path never got the protection. It kept nothing about a request beyond its own attempts: not when it came again under a new id, nor at the other entry hosts, nor after a restart. Class: a protection that the platform's path never got.

Change: CrashWatch records the requests whose connection an upstream broke and that then refuses connections; an upstream that still takes them has only lost a connection, and one that drains may end. The verdicts are in the SuspectTable of the agents' path, which now also holds which crashes a request was at, so that a crash that several hosts report counts once. Ending in order clears it at all hosts.

Ruled out as cause of the reproduction: retries that are not counted (each arrival made maxAttempts = 2 sends) and faults of a rank (its group answers 503, which is final).

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -17,6 +17,7 @@
 from ..telemetry.logs import get_logger
 from ..transport.http1_client import SAFE_IDLE_S, Http1Connection, ResponseHead
 from .clock import elapsed_ms, now_ms
+from .crash_watch import CrashWatch
 from .job import Job
 from .model import Repeatability
 from .ports import CallProtocol, ForwardingContext, ResponseMetadata
@@ -24,7 +25,13 @@
 from .streams import EVENT_END, EventSplitter, StreamError
 from .upstreams import Upstream
 
-__all__ = ["AttemptSender", "Completed", "FailedResponse", "not_sent"]
+__all__ = [
+    "AttemptSender",
+    "Completed",
+    "FailedResponse",
+    "not_sent",
+    "quarantined",
+]
 
 MAX_RESPONSE_BYTES = 16_777_216  # Plain responses are buffered; far above usual sizes.
 # Fraction of the time left after which an attempt without a response is given up, if
@@ -62,11 +69,19 @@
     routing_state : RoutingState
         Is told what each attempt reveals about its upstream.
     protocol : CallProtocol
+    crash_watch : CrashWatch
+        Recognises requests that crash upstreams.
     """
 
-    def __init__(self, routing_state: RoutingState, protocol: CallProtocol):
+    def __init__(
+        self,
+        routing_state: RoutingState,
+        protocol: CallProtocol,
+        crash_watch: CrashWatch,
+    ):
         self._routing_state = routing_state
         self._protocol = protocol
+        self._crash_watch = crash_watch
 
     async def send(
         self, job: Job, upstream: Upstream
@@ -79,9 +94,9 @@
             return not_sent(str(error))
         # The caller may have left, or the host have been suspended, meanwhile.
         await trio.lowlevel.checkpoint()
-        if reason := self._reason_not_to_send(job):
+        if failure := self._reason_not_to_send(job):
             await upstream.pool.release_unused(connection)
-            return not_sent(reason, is_final=True)
+            return failure
         job.tried.append(upstream.entry.id)
         started_at_ms = now_ms()
         is_complete = False
@@ -97,6 +112,8 @@
                 job, upstream, connection, head, metadata
             )
             is_complete = True
+            if not isinstance(result, Failure):
+                self._crash_watch.record_end(job)
             if isinstance(result, Completed):
                 upstream.record_success(self._latency_ms(job, started_at_ms))
             return result
@@ -110,7 +127,9 @@
                 ran_ms=int(elapsed_ms(started_at_ms)),
                 idle_ms=int(1000 * connection.idle_before_use_s),
             )
-            if (
+            if await self._crash_watch.record_disconnect(job, upstream):
+                upstream.record_unreachable(now_ms())
+            elif (
                 connection.idle_before_use_s > SAFE_IDLE_S
                 and not connection.has_received_bytes
             ):
@@ -140,13 +159,16 @@
             return self._routing_state.max_idle_s(job.service)
         return SAFE_IDLE_S
 
-    def _reason_not_to_send(self, job: Job) -> str:
-        """Return why a request must no longer be sent, an empty string if it may."""
+    def _reason_not_to_send(self, job: Job) -> Failure | None:
+        """Return why a request must no longer be sent, None if it may."""
         if job.left_ms() <= 0:
-            return "the deadline has passed"
+            return not_sent("the deadline has passed", is_final=True)
         if job.key is not None and not self._routing_state.allows_key(job.key):
-            return "the key was taken away"
-        return ""
+            return not_sent("the key was taken away", is_final=True)
+        refusal_ms = self._crash_watch.refusal_ms(job)
+        if refusal_ms is not None:
+            return quarantined(refusal_ms)
+        return None
 
     def _record_connection_failure(self, job: Job, upstream: Upstream) -> None:
         if job.first_sent_ms is None:
@@ -300,3 +322,9 @@
 def not_sent(reason: str, is_final: bool = False) -> Failure:
     """Return the failure of an attempt that was not sent to any upstream."""
     return Failure(Outcome.NOT_RUN, reason, 503, 0.0, is_final, is_planned=True)
+
+
+def quarantined(refusal_ms: float) -> Failure:
+    """Return the failure of a request that is refused as it crashes upstreams."""
+    reason = "it crashes upstreams"
+    return Failure(Outcome.NOT_RUN, reason, 503, refusal_ms, is_final=True)
--- /dev/null
+++ b/poplarward/direct/crash_watch.py
@@ -0,0 +1,105 @@
+"""Recognises requests that crash upstreams and refuses them.
+
+A connection that breaks under a request does not tell whether the upstream has crashed
+or only this connection was lost, so the host connects again: only an upstream that
+refuses is down. Each host sees its own requests alone and sends what it saw to the
+others; see `poplarward.requests.suspects`.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from ..errors import UpstreamUnreachable
+from ..protocol.suspects import Verdict
+from ..requests.suspects import SuspectTable, crash_id
+from ..telemetry.logs import get_logger
+from .clock import now_ms
+from .job import Job
+from .upstreams import Upstream
+
+__all__ = ["CrashWatch"]
+
+# A process that ends closes its connections and its listener within this time.
+PROBE_DELAY_MS = 20.0
+PROBE_TIMEOUT_MS = 150.0
+
+log = get_logger("suspects")
+
+
+class CrashWatch:
+    """Records under which requests upstreams crash, and which of them to refuse.
+
+    Parameters
+    ----------
+    suspects : SuspectTable
+        Verdicts, shared with the other entry hosts.
+    """
+
+    def __init__(self, suspects: SuspectTable):
+        self._suspects = suspects
+
+    def refusal_ms(self, job: Job) -> int | None:
+        """Return for how long a request is refused; None if it may be sent."""
+        suspects = self._suspects
+        if suspects.is_empty:
+            return None
+        suspects.quarantine_causes()
+        if suspects.verdict(job.digest) is not Verdict.QUARANTINED:
+            return None
+        left_ms = suspects.remaining_ms(job.digest)
+        log.info(
+            "suspect.refused",
+            request=job.request.id,
+            digest=f"{job.digest:016x}",
+            path=job.request.path,
+            workspace=job.workspace,
+            n_crashes=suspects.n_crashes(job.digest),
+            left_ms=left_ms,
+        )
+        return left_ms
+
+    def record_end(self, job: Job) -> None:
+        """Record that an upstream ran a request and did not crash."""
+        if not self._suspects.is_empty:
+            self._suspects.clear(job.digest)
+
+    async def record_disconnect(self, job: Job, upstream: Upstream) -> bool:
+        """Record a connection that broke under a request; returns whether it crashed.
+
+        On return, the verdict that follows is in the table.
+        """
+        # An upstream that is leaving ends without a fault.
+        if not upstream.accepts_requests(now_ms()):
+            return False
+        with trio.CancelScope(shield=True):
+            if not await _refuses_connections(upstream):
+                return False
+        crash = crash_id(upstream.entry.id, upstream.entry.started_at_ms)
+        log.warning(
+            "upstream.crashed",
+            upstream=upstream.entry.id,
+            crash=f"{crash:08x}",
+            request=job.request.id,
+            digest=f"{job.digest:016x}",
+        )
+        self._suspects.record_crash(job.digest, crash)
+        return True
+
+
+async def _refuses_connections(upstream: Upstream) -> bool:
+    """Whether an upstream refuses connections; False if it can't be told in time."""
+    is_refused = False
+    with trio.move_on_after(PROBE_TIMEOUT_MS / 1000):
+        for _ in range(2):
+            try:
+                connection = await upstream.pool.acquire()
+            except UpstreamUnreachable:
+                is_refused = True
+                break
+            await trio.sleep(PROBE_DELAY_MS / 1000)
+            if connection.is_open():
+                await upstream.pool.release_unused(connection)
+                break
+            await connection.close()
+    return is_refused
--- a/poplarward/direct/host_heartbeats.py
+++ b/poplarward/direct/host_heartbeats.py
@@ -15,8 +15,11 @@
 import trio
 
 from ..errors import DecodeError
+from ..protocol.codec import from_array, to_array
+from ..protocol.suspects import Suspicions
 from ..telemetry.logs import get_logger
 from .clock import elapsed_ms, now_ms
+from .suspect_exchange import SuspectExchange
 
 __all__ = [
     "HeartbeatExchange",
@@ -66,6 +69,8 @@
         map made for another demand, as measured by the leader.
     link_mbps : float
         Rate of the host's link, 0 if unknown.
+    suspicions : Suspicions or None
+        Verdicts on requests that crash upstreams; not all that the host has.
     """
 
     host: str
@@ -79,6 +84,7 @@
     slowed_services: Sequence[str] = ()
     post_shift_skews: dict[str, float] = {}
     link_mbps: float = 0.0
+    suspicions: Suspicions | None = None
 
 
 class HostState(NamedTuple):
@@ -92,7 +98,9 @@
 
 def encode_heartbeat(heartbeat: HostHeartbeat) -> bytes:
     """Return the bytes of a heartbeat."""
-    return cbor2.dumps([FORMAT, *heartbeat])
+    suspicions = heartbeat.suspicions
+    encoded = None if suspicions is None else to_array(suspicions)
+    return cbor2.dumps([FORMAT, *heartbeat._replace(suspicions=encoded)])
 
 
 def decode_heartbeat(data: bytes) -> HostHeartbeat:
@@ -118,12 +126,20 @@
             heartbeat.sequence_number, int
         )
         is_valid = is_valid and isinstance(heartbeat.link_mbps, (int, float))
+        suspicions = heartbeat.suspicions
+        if suspicions is not None:
+            suspicions = from_array(suspicions)
+            is_valid = is_valid and isinstance(suspicions, Suspicions)
     except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as error:
         raise DecodeError(f"not a heartbeat: {error}") from error
     if version != FORMAT or not is_valid:
         raise DecodeError(f"heartbeat of format {version}")
     return heartbeat._replace(
-        loads=loads, slowness=slowness, slowed_services=slowed, post_shift_skews=skews
+        loads=loads,
+        slowness=slowness,
+        slowed_services=slowed,
+        post_shift_skews=skews,
+        suspicions=suspicions,
     )
 
 
@@ -150,6 +166,8 @@
         Called with the slow ranks that any host knows of.
     on_skews : callable
         Called with the post-shift skews that another host has sent.
+    suspects : SuspectExchange, optional
+        Verdicts on requests that crash upstreams, to be shared with the other hosts.
     link_mbps : float
         Rate of this host's link. New maps for a whole group are sent over the leader's
         link, so the host with the fastest link is preferred.
@@ -165,7 +183,9 @@
         on_slowness: Callable[[dict[str, float]], None] = lambda slowness: None,
         on_skews: Callable[[dict[str, float]], None] = lambda skews: None,
         link_mbps: float = 0.0,
+        suspects: SuspectExchange | None = None,
     ):
+        self._suspects = suspects
         self._link_mbps = link_mbps
         self._on_skews = on_skews
         self._on_slowness = on_slowness
@@ -269,6 +289,11 @@
             self._link_mbps,
         )
         data = encode_heartbeat(heartbeat)
+        if self._suspects is not None:
+            max_bytes = MAX_DATAGRAM_BYTES - len(data)
+            suspicions = self._suspects.next_message(max_bytes)
+            if suspicions is not None:
+                data = encode_heartbeat(heartbeat._replace(suspicions=suspicions))
         for endpoint in list(self._endpoints):
             try:
                 await self._socket.sendto(data, endpoint)
@@ -315,6 +340,7 @@
             )
             self._timed_out.discard(heartbeat.host)
         self._endpoints.add(endpoint)
+        self._exchange_suspicions(heartbeat, previous)
         if heartbeat.is_leader:
             self._other_leader_seen_at_ms, self._other_leader = now_ms(), heartbeat.host
         elif heartbeat.host == self._other_leader:
@@ -328,6 +354,16 @@
         if previous is None or previous.heartbeat.slowness != heartbeat.slowness:
             self._on_slowness(self.slowness())
 
+    def _exchange_suspicions(
+        self, heartbeat: HostHeartbeat, previous: _Peer | None
+    ) -> None:
+        if self._suspects is None:
+            return
+        if heartbeat.suspicions is not None:
+            self._suspects.merge(heartbeat.suspicions)
+        if previous is None or previous.heartbeat.start_id != heartbeat.start_id:
+            self._suspects.resend_lasting()
+
     def slowness(self) -> dict[str, float]:
         """Return the slow ranks that this host or a live peer knows of."""
         total = dict(self._read_state().slowness)
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -23,8 +23,15 @@
 from ..telemetry.logs import get_logger
 from ..transport.http1_server import Exchange
 from .admission_queue import AdmissionRequest, Admitted, Refused
-from .attempts import AttemptSender, Completed, FailedResponse, not_sent
+from .attempts import (
+    AttemptSender,
+    Completed,
+    FailedResponse,
+    not_sent,
+    quarantined,
+)
 from .clock import now_ms
+from .crash_watch import CrashWatch
 from .job import Job
 from .model import CallerRequest, Route
 from .ports import CallProtocol
@@ -53,6 +60,7 @@
         Applied configuration, upstreams and admission.
     protocol : CallProtocol
     request_log : RequestLog
+    crash_watch : CrashWatch
     rng : random.Random
     """
 
@@ -61,11 +69,13 @@
         routing_state: RoutingState,
         protocol: CallProtocol,
         request_log: RequestLog,
+        crash_watch: CrashWatch,
         rng: random.Random,
     ):
         self._routing_state = routing_state
         self._protocol = protocol
-        self._sender = AttemptSender(routing_state, protocol)
+        self._crash_watch = crash_watch
+        self._sender = AttemptSender(routing_state, protocol, crash_watch)
         self._log = request_log
         self._rng = rng
 
@@ -144,6 +154,11 @@
         """Make attempts until the caller has its final response."""
         n_attempts = 0
         while True:
+            refusal_ms = self._crash_watch.refusal_ms(job)
+            if refusal_ms is not None:
+                refusal = quarantined(refusal_ms)
+                await self._give_up(job, refusal.reason, refusal.retry_after_ms, None)
+                return
             admission = await self._admit(job)
             if isinstance(admission, Refused):
                 await self._give_up(
--- /dev/null
+++ b/poplarward/direct/suspect_exchange.py
@@ -0,0 +1,97 @@
+"""Chooses which verdicts on requests each heartbeat carries, and merges received ones.
+
+A verdict that has changed goes with the next few heartbeats, so that a lost one does no
+harm. Those that keep requests from being sent are repeated for as long as they last,
+some at a time. A host that turns out to lack a verdict, or has just started, is sent it
+again.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from ..protocol.suspects import Suspicions
+from ..requests.suspects import SuspectTable
+
+__all__ = ["SuspectExchange"]
+
+FRESH_SENDS = 4  # Heartbeats that carry a change.
+FORWARDED_SENDS = 1  # For those that its first sender does not reach.
+MAX_FRESH = 16
+MAX_REPEATED = 2
+MAX_PENDING = 1_024  # Changes that wait for a heartbeat; the latest ones are kept.
+REPEAT_INTERVAL_MS = 250.0
+# A digest, its verdict and the crashes of it, in CBOR.
+MAX_ENTRY_BYTES = 48
+FRAME_BYTES = 16
+
+
+class SuspectExchange:
+    """Shares a table of verdicts with the other entry hosts, over their heartbeats.
+
+    Parameters
+    ----------
+    suspects : SuspectTable
+    """
+
+    def __init__(self, suspects: SuspectTable):
+        self._suspects = suspects
+        self._n_changes = 0
+        self._sends_left: dict[int, int] = {}
+        self._repeated: list[int] = []
+        self._repeated_at = float("-inf")
+
+    def next_message(self, max_bytes: int) -> Suspicions | None:
+        """Return the verdicts for the next heartbeat, in at most so many bytes."""
+        suspects = self._suspects
+        if suspects.is_empty:
+            self._sends_left.clear()
+            return None
+        suspects.quarantine_causes()
+        self._schedule_changes(FRESH_SENDS)
+        n_entries = max(0, (max_bytes - FRAME_BYTES) // MAX_ENTRY_BYTES)
+        fresh = list(self._sends_left)[: min(MAX_FRESH, n_entries)]
+        for digest in fresh:
+            n_left = self._sends_left.pop(digest) - 1
+            if n_left:
+                # Behind those that have not been sent as often.
+                self._sends_left[digest] = n_left
+        chosen = dict.fromkeys([*fresh, *self._due_repeats()])
+        message = suspects.export(list(chosen)[:n_entries])
+        return message if message.entries else None
+
+    def merge(self, message: Suspicions) -> None:
+        """Merge the verdicts that another host has sent."""
+        self._schedule_changes(FRESH_SENDS)
+        lacking = self._suspects.merge(message.entries, message.crash_ids)
+        self._schedule_changes(FORWARDED_SENDS)
+        for digest in lacking:
+            self._sends_left.setdefault(digest, 1)
+
+    def resend_lasting(self) -> None:
+        """Send all lasting verdicts again, as a host has started that has none."""
+        for digest in self._suspects.lasting_digests():
+            self._sends_left[digest] = FRESH_SENDS
+
+    def _schedule_changes(self, n_sends: int) -> None:
+        if self._n_changes == self._suspects.n_changes:
+            return
+        for digest in self._suspects.digests_since(self._n_changes):
+            self._sends_left[digest] = n_sends
+        self._n_changes = self._suspects.n_changes
+        for digest in list(self._sends_left)[:-MAX_PENDING]:
+            del self._sends_left[digest]
+
+    def _due_repeats(self) -> list[int]:
+        now = trio.current_time()
+        if now < self._repeated_at + REPEAT_INTERVAL_MS / 1000:
+            return []
+        self._repeated_at = now
+        self._suspects.drop_expired()
+        if not self._repeated:
+            self._repeated = self._suspects.lasting_digests()
+        due, self._repeated = (
+            self._repeated[:MAX_REPEATED],
+            self._repeated[MAX_REPEATED:],
+        )
+        return due
--- a/poplarward/direct/upstreams.py
+++ b/poplarward/direct/upstreams.py
@@ -45,6 +45,12 @@
         self.reported_slowness = 1.0
         self.remove_at_ms: float | None = None
 
+    def accepts_requests(self, now_ms: float) -> bool:
+        """Whether the upstream is neither draining nor gone."""
+        if self.remove_at_ms is not None and now_ms >= self.remove_at_ms:
+            return False
+        return not self.entry.is_draining
+
     def record_success(self, latency_ms: float | None) -> None:
         """Record a response that was no failure."""
         self.health.record_success()
@@ -159,7 +165,7 @@
         self, service: str, now_ms: float, base_load: float = 0.0
     ) -> list[Candidate]:
         """Return the upstreams of a service that accept requests now."""
-        usable = [u for u in self.of_service(service) if _accepts_requests(u, now_ms)]
+        usable = [u for u in self.of_service(service) if u.accepts_requests(now_ms)]
         reachable = [u for u in usable if not u.health.is_down(now_ms)]
         median_ms = _median_latency_ms(reachable)
         return [
@@ -179,7 +185,7 @@
         down = [
             u.health.down_until_ms - now_ms
             for u in self.of_service(service)
-            if _accepts_requests(u, now_ms) and u.health.is_down(now_ms)
+            if u.accepts_requests(now_ms) and u.health.is_down(now_ms)
         ]
         return min(down, default=None)
 
@@ -217,13 +223,6 @@
     )
 
 
-def _accepts_requests(upstream: Upstream, now_ms: float) -> bool:
-    remove_at_ms = upstream.remove_at_ms
-    if remove_at_ms is not None and now_ms >= remove_at_ms:
-        return False
-    return not upstream.entry.is_draining
-
-
 def _median_latency_ms(upstreams: list[Upstream]) -> float | None:
     latencies_ms = sorted(u.latency_ms for u in upstreams if u.latency_ms is not None)
     if len(latencies_ms) < MIN_LATENCIES:
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -9,6 +9,7 @@
 import trio
 
 from ..direct.clock import now_ms
+from ..direct.crash_watch import CrashWatch
 from ..direct.feed_watcher import FeedWatcher
 from ..direct.host_heartbeats import HeartbeatExchange, HostState
 from ..direct.map_controller import MapController
@@ -17,7 +18,9 @@
 from ..direct.request_log import RequestLog
 from ..direct.retry_budgets import RetryBudgets
 from ..direct.routing_state import RoutingState
+from ..direct.suspect_exchange import SuspectExchange
 from ..errors import ConflictError, FindingsError, NotFound, StoreUnavailable
+from ..requests.suspects import SuspectTable
 from ..state.budget import Backoff, RetryBudget
 from ..telemetry.logs import get_logger
 from ..telemetry.metrics import RequestMetrics
@@ -108,6 +111,8 @@
             self._apply_upstream_change,
             self._backoff(),
         )
+        suspects = SuspectTable()
+        self._metrics.observe_quarantine(lambda: suspects.n_quarantined)
         self._exchange = HeartbeatExchange(
             settings.host,
             settings.callers_address,
@@ -117,6 +122,7 @@
             self._routing_state.upstreams.update_slowness,
             self._routing_state.update_post_shift_skews,
             settings.link_mbps,
+            SuspectExchange(suspects),
         )
         self._routing_state.on_load_change = self._exchange.notify_load_change
         self._controller = MapController(
@@ -130,6 +136,7 @@
             self._routing_state,
             PlatformHeaders(),
             RequestLog(self._routing_state, self._metrics),
+            CrashWatch(suspects),
             rng,
         )
         self._callers = Http1Server(
--- a/poplarward/protocol/suspects.py
+++ b/poplarward/protocol/suspects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -45,9 +46,16 @@
 
 @message(310)
 class Suspicions:
-    """Verdicts known to the sender and possibly not to the receiver."""
+    """Verdicts known to the sender and possibly not to the receiver.
+
+    Attributes
+    ----------
+    crash_ids : sequence of sequence of int
+        For each entry, the crashes of this round; empty where they are only counted.
+    """
 
     entries: list[Suspicion]
+    crash_ids: Sequence[Sequence[int]] = ()
 
 
 @message(311)
--- a/poplarward/requests/suspects/__init__.py
+++ b/poplarward/requests/suspects/__init__.py
@@ -8,7 +8,7 @@
 from .crash_detector import CrashDetector
 from .gossip import SuspectGossip
 from .slot import SlotHold, SuspectSlot
-from .table import SuspectTable, request_digest
+from .table import SuspectTable, crash_id, request_digest
 
 __all__ = [
     "CrashDetector",
@@ -16,5 +16,6 @@
     "SuspectGossip",
     "SuspectSlot",
     "SuspectTable",
+    "crash_id",
     "request_digest",
 ]
--- a/poplarward/telemetry/metrics.py
+++ b/poplarward/telemetry/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 from prometheus_client import (
     CollectorRegistry,
@@ -97,6 +99,15 @@
             "poplarward_open_requests", "Requests in progress", registry=self.registry
         )
 
+    def observe_quarantine(self, count: Callable[[], int]) -> None:
+        """Show the number of quarantined requests, which `count` returns."""
+        quarantined = Gauge(
+            "poplarward_quarantined_requests",
+            "Requests that are refused because they crash upstreams",
+            registry=self.registry,
+        )
+        quarantined.set_function(count)
+
     def timer(self, workspace: str, priority_class: str) -> RequestTimer:
         """Return a started timer for one request."""
         label = self._label(workspace)
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -175,7 +175,11 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Whether an idle connection has not expired and has no bytes to read."""
-        return now_s < self._idle_until and not _has_bytes(self._stream)
+        return now_s < self._idle_until and self.is_open()
+
+    def is_open(self) -> bool:
+        """Whether the peer has neither closed the connection nor sent anything."""
+        return not _has_bytes(self._stream)
 
     async def close(self) -> None:
         """Close the connection at once; the upstream then stops processing."""
--- a/tests/direct/relay_harness.py
+++ b/tests/direct/relay_harness.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from poplarward.direct.crash_watch import CrashWatch
 from poplarward.direct.model import (
     Configuration,
     Repeatability,
@@ -23,6 +24,7 @@
 from poplarward.direct.retry_budgets import RetryBudgets
 from poplarward.direct.routing_state import RoutingState
 from poplarward.platform.headers import PlatformHeaders
+from poplarward.requests.suspects import SuspectTable
 from poplarward.telemetry import RequestMetrics
 from poplarward.transport.http1_server import CallerLimits, Http1Server
 
@@ -219,10 +221,12 @@
             random.Random(1),
         )
         self.routing_state.apply_configuration(configuration())
+        self.suspects = SuspectTable()
         relay = Relay(
             self.routing_state,
             PlatformHeaders(),
             RequestLog(self.routing_state, RequestMetrics()),
+            CrashWatch(self.suspects),
             random.Random(1),
         )
         self.server = Http1Server(relay.handle, self.routing_state.limits, 50)
