Allot a third of the fixed retries, as hosts may save, gain and restart

Cause: a bucket held twice its part, gained it again within the window, and after a restart began with it, doubled as the first refill was counted from the start of the clock. All hosts together could make 273 to 532 retries in a window that allows 271, when every request failed (21 hosts after a calm time, one host from the start). The test before began at second 0 of the clock with empty buckets, where none of this shows.

Change: a bucket holds its part, its first refill is counted from its first use, and a third of the fixed number is allotted: saved, gained and given again after a restart, these add up to the whole. The doc example has the same result with a fixed number of 6.

--- a/poplarward/direct/retry_budgets.py
+++ b/poplarward/direct/retry_budgets.py
@@ -2,8 +2,9 @@
 
 A service allows, in any window, retries for a fraction of its requests plus a fixed
 number. Each host gains a fraction of a retry with each of its own requests, which needs
-no coordination, and an even part of the fixed number, refilled over the window. A host
-that restarts gets its part again, so only half of the fixed number is allotted.
+no coordination, and an even part of the fixed number, refilled over the window. Within
+one window a host may use the part that it has saved and the part that it gains, and one
+that restarts gets its part again, so only a third of the fixed number is allotted.
 """
 
 from __future__ import annotations
@@ -15,9 +16,9 @@
 
 __all__ = ["HostRetryBudget", "RetryBudgets", "ServiceRetryBudget"]
 
-ALLOTTED_FRACTION = 0.5  # Leaves room for hosts that restart within a window.
+ALLOTTED_FRACTION = 1 / 3  # Saved, gained, and given again after a restart.
 REQUEST_FRACTION = 0.7  # The previous window may have had fewer requests.
-MAX_SAVED_RATIO = 2.0  # Saved retries are added to those of the current window.
+MAX_SAVED_RATIO = 1.0  # Saved retries are added to those of the current window.
 
 
 class HostRetryBudget:
@@ -34,7 +35,7 @@
 
     Examples
     --------
-    >>> budget = HostRetryBudget(ratio=0.2, fixed=4, window_s=10)
+    >>> budget = HostRetryBudget(ratio=0.2, fixed=6, window_s=10)
     >>> [budget.take(now_s=0.0, n_hosts=1) for _ in range(3)]
     [True, True, False]
     """
@@ -57,6 +58,7 @@
         limit = max(host_fixed, 1.0)
         if self._n_left is None:
             self._n_left = limit
+            self._refilled_at_s = now_s
         elapsed_s = now_s - self._refilled_at_s
         gained = host_fixed * elapsed_s / self._window_s
         self._refilled_at_s = now_s
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -57,6 +57,33 @@
         assert n_retries <= ratio * n_requests + fixed
 
 
+@pytest.mark.parametrize("n_hosts", [1, 13, 21])
+@pytest.mark.parametrize("calm_s", [0, 40])
+def test_retries_stay_within_the_budget_when_all_requests_fail(n_hosts, calm_s):
+    """Hosts that have saved retries, on a clock that started long before them.
+
+    Each host is also restarted once within a window.
+    """
+    ratio, fixed, window_s, started_s, per_s = 0.2, 191.0, 10.0, 5_000.0, 40
+    budgets = [HostRetryBudget(ratio, fixed, window_s) for _ in range(n_hosts)]
+    retries, requests = [], []
+    rng = random.Random(n_hosts)
+    for tick in range(int((calm_s + 20) * per_s)):
+        now_s = started_s + tick / per_s
+        if tick == int((calm_s + 5) * per_s):
+            budgets = [HostRetryBudget(ratio, fixed, window_s) for _ in range(n_hosts)]
+        budget = rng.choice(budgets)
+        budget.record_request()
+        requests.append(now_s)
+        n_wanted = 3 if tick >= calm_s * per_s else 0
+        retries += [now_s] * sum(budget.take(now_s, n_hosts) for _ in range(n_wanted))
+    for start in range(4 * (calm_s + 10)):
+        from_s = started_s + start / 4
+        n_retries = sum(from_s <= at < from_s + window_s for at in retries)
+        n_requests = sum(from_s <= at < from_s + window_s for at in requests)
+        assert n_retries <= ratio * n_requests + fixed
+
+
 def test_restarting_hosts_stay_within_the_retry_budget():
     fixed = 191.0
     n_retries = 0
