Count hosts that have timed out when the retry budget is divided

Cause: a host divided the fixed number of retries by the hosts that it had heard of within a second.

--- a/poplarward/direct/host_heartbeats.py
+++ b/poplarward/direct/host_heartbeats.py
@@ -235,6 +235,14 @@
             if elapsed_ms(peer.received_at_ms) < timeout_ms
         ]
 
+    def count_hosts(self) -> int:
+        """Return how many entry hosts there are, as far as known.
+
+        Those that have timed out count until they expire: they may be cut off from this
+        host alone, and take requests as before.
+        """
+        return 1 + len(self._peers)
+
     def serving_addresses(self) -> list[str]:
         """Return the addresses for callers, this host's first if it serves."""
         own = [self._address] if self._is_serving() else []
--- a/poplarward/direct/retry_budgets.py
+++ b/poplarward/direct/retry_budgets.py
@@ -77,7 +77,7 @@
     ratio, fixed, window_s : float
         See `HostRetryBudget`.
     count_hosts : callable
-        Returns the number of serving entry hosts.
+        Returns the number of entry hosts.
     on_decision : callable
         Called with the service and whether a retry was allowed.
     """
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -83,7 +83,7 @@
             settings.retry_ratio,
             settings.retry_fixed,
             settings.retry_window_s,
-            self._count_hosts,
+            lambda: self._exchange.count_hosts(),
             self._metrics.count_retry,
         )
         self._configuration = FeedWatcher(
@@ -194,9 +194,6 @@
     def _backoff(self) -> Backoff:
         return Backoff(self._retry_budget, self._rng, max_backoff_ms=1_000.0)
 
-    def _count_hosts(self) -> int:
-        return 1 + len(self._exchange.live_heartbeats())
-
     def _read_state(self) -> HostState:
         return HostState(
             self._routing_state.upstreams.own_loads(),
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -407,6 +407,30 @@
         ]
 
 
+def test_hosts_that_are_cut_off_from_each_other_stay_within_the_retry_budget(
+    monkeypatch,
+):
+    """A host that hears of no other must not take the whole budget for its own."""
+    clock_ms = [5_000_000.0]
+    monkeypatch.setattr(host_heartbeats, "now_ms", lambda: clock_ms[0])
+    monkeypatch.setattr(
+        host_heartbeats, "elapsed_ms", lambda since_ms: clock_ms[0] - since_ms
+    )
+    hosts = Hosts(*(f"front-{number}" for number in range(13)))
+    hosts.exchange_heartbeats()
+    budgets = {name: HostRetryBudget(0.2, 191.0, 10.0) for name in hosts.exchanges}
+    n_retries = 0
+    for _ in range(100):  # One window, in which all requests fail.
+        clock_ms[0] += 100.0
+        for name, exchange in hosts.exchanges.items():
+            exchange._expire_peers()
+            n_hosts = exchange.count_hosts()
+            n_retries += sum(
+                budgets[name].take(clock_ms[0] / 1000, n_hosts) for _ in range(3)
+            )
+    assert n_retries <= 191.0
+
+
 def test_host_that_restarts_does_not_replace_the_leader():
     hosts = Hosts("a", "b", "c")
     hosts.exchange_heartbeats()
