Take only refused connections for a crash; one source of the refusal

Found on reading the change again: a connection that timed out in the probe was left open if the time ran out in its pause, and a lack of own sockets or a lost route counted as a refusal. Only ECONNREFUSED does now; a reset is tried once more.

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -25,13 +25,7 @@
 from .streams import EVENT_END, EventSplitter, StreamError
 from .upstreams import Upstream
 
-__all__ = [
-    "AttemptSender",
-    "Completed",
-    "FailedResponse",
-    "not_sent",
-    "quarantined",
-]
+__all__ = ["AttemptSender", "Completed", "FailedResponse", "not_sent"]
 
 MAX_RESPONSE_BYTES = 16_777_216  # Plain responses are buffered; far above usual sizes.
 # Fraction of the time left after which an attempt without a response is given up, if
@@ -165,10 +159,7 @@
             return not_sent("the deadline has passed", is_final=True)
         if job.key is not None and not self._routing_state.allows_key(job.key):
             return not_sent("the key was taken away", is_final=True)
-        refusal_ms = self._crash_watch.refusal_ms(job)
-        if refusal_ms is not None:
-            return quarantined(refusal_ms)
-        return None
+        return self._crash_watch.refusal(job)
 
     def _record_connection_failure(self, job: Job, upstream: Upstream) -> None:
         if job.first_sent_ms is None:
@@ -322,9 +313,3 @@
 def not_sent(reason: str, is_final: bool = False) -> Failure:
     """Return the failure of an attempt that was not sent to any upstream."""
     return Failure(Outcome.NOT_RUN, reason, 503, 0.0, is_final, is_planned=True)
-
-
-def quarantined(refusal_ms: float) -> Failure:
-    """Return the failure of a request that is refused as it crashes upstreams."""
-    reason = "it crashes upstreams"
-    return Failure(Outcome.NOT_RUN, reason, 503, refusal_ms, is_final=True)
--- a/poplarward/direct/crash_watch.py
+++ b/poplarward/direct/crash_watch.py
@@ -2,7 +2,7 @@
 
 A connection that breaks under a request does not tell whether the upstream has crashed
 or only this connection was lost, so the host connects again: only an upstream that
-refuses is down. Each host sees its own requests alone and sends what it saw to the
+refuses has crashed. Each host sees its own requests alone and sends what it saw to the
 others; see `poplarward.requests.suspects`.
 """
 
@@ -11,7 +11,9 @@
 import trio
 
 from ..errors import UpstreamUnreachable
+from ..protocol.outcomes import Outcome
 from ..protocol.suspects import Verdict
+from ..requests.retries import Failure
 from ..requests.suspects import SuspectTable, crash_id
 from ..telemetry.logs import get_logger
 from .clock import now_ms
@@ -22,7 +24,7 @@
 
 # A process that ends closes its connections and its listener within this time.
 PROBE_DELAY_MS = 20.0
-PROBE_TIMEOUT_MS = 150.0
+PROBE_TIMEOUT_MS = 100.0
 
 log = get_logger("suspects")
 
@@ -39,8 +41,8 @@
     def __init__(self, suspects: SuspectTable):
         self._suspects = suspects
 
-    def refusal_ms(self, job: Job) -> int | None:
-        """Return for how long a request is refused; None if it may be sent."""
+    def refusal(self, job: Job) -> Failure | None:
+        """Return the refusal of a quarantined request; None if it may be sent."""
         suspects = self._suspects
         if suspects.is_empty:
             return None
@@ -57,7 +59,8 @@
             n_crashes=suspects.n_crashes(job.digest),
             left_ms=left_ms,
         )
-        return left_ms
+        reason = "it crashes upstreams"
+        return Failure(Outcome.NOT_RUN, reason, 503, left_ms, is_final=True)
 
     def record_end(self, job: Job) -> None:
         """Record that an upstream ran a request and did not crash."""
@@ -89,17 +92,25 @@
 
 async def _refuses_connections(upstream: Upstream) -> bool:
     """Whether an upstream refuses connections; False if it can't be told in time."""
-    is_refused = False
-    with trio.move_on_after(PROBE_TIMEOUT_MS / 1000):
-        for _ in range(2):
-            try:
+    for _ in range(2):
+        try:
+            with trio.fail_after(PROBE_TIMEOUT_MS / 1000):
                 connection = await upstream.pool.acquire()
-            except UpstreamUnreachable:
-                is_refused = True
-                break
-            await trio.sleep(PROBE_DELAY_MS / 1000)
-            if connection.is_open():
-                await upstream.pool.release_unused(connection)
-                break
-            await connection.close()
-    return is_refused
+        except trio.TooSlowError:
+            return False
+        except UpstreamUnreachable as error:
+            match error.__cause__:
+                case ConnectionRefusedError():
+                    return True
+                case ConnectionResetError():
+                    # The listener was closed meanwhile, or is short of connections.
+                    await trio.sleep(PROBE_DELAY_MS / 1000)
+                    continue
+                case _:
+                    return False
+        await trio.sleep(PROBE_DELAY_MS / 1000)
+        if connection.is_open():
+            await upstream.pool.release_unused(connection)
+            return False
+        await connection.close()
+    return False
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -23,13 +23,7 @@
 from ..telemetry.logs import get_logger
 from ..transport.http1_server import Exchange
 from .admission_queue import AdmissionRequest, Admitted, Refused
-from .attempts import (
-    AttemptSender,
-    Completed,
-    FailedResponse,
-    not_sent,
-    quarantined,
-)
+from .attempts import AttemptSender, Completed, FailedResponse, not_sent
 from .clock import now_ms
 from .crash_watch import CrashWatch
 from .job import Job
@@ -154,9 +148,7 @@
         """Make attempts until the caller has its final response."""
         n_attempts = 0
         while True:
-            refusal_ms = self._crash_watch.refusal_ms(job)
-            if refusal_ms is not None:
-                refusal = quarantined(refusal_ms)
+            if refusal := self._crash_watch.refusal(job):
                 await self._give_up(job, refusal.reason, refusal.retry_after_ms, None)
                 return
             admission = await self._admit(job)
--- a/poplarward/requests/suspects/identification.py
+++ b/poplarward/requests/suspects/identification.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection, Mapping
 
-__all__ = ["PROOF_CRASHES", "identify_causes"]
+__all__ = ["PROOF_CRASHES", "REPEATED_CRASHES", "identify_causes"]
 
 REPEATED_CRASHES = 2  # One crash may be the upstream's own fault.
 PROOF_CRASHES = 3  # More cost further upstreams, whoever else was there each time.
