--- a/poplarward/direct/crash_watch.py
+++ b/poplarward/direct/crash_watch.py
@@ -12,7 +12,7 @@
 
 from ..errors import UpstreamUnreachable
 from ..protocol.outcomes import Outcome
-from ..protocol.suspects import Verdict
+from ..protocol.verdicts import Verdict
 from ..requests.retries import Failure
 from ..requests.suspects import SuspectTable, crash_id
 from ..telemetry.logs import get_logger
--- a/poplarward/direct/host_heartbeats.py
+++ b/poplarward/direct/host_heartbeats.py
@@ -9,14 +9,13 @@
 
 import secrets
 from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import cbor2
 import trio
 
 from ..errors import DecodeError
-from ..protocol.codec import from_array, to_array
-from ..protocol.suspects import Suspicions
+from ..protocol.verdicts import SharedVerdict, Suspicion, Verdict
 from ..telemetry.logs import get_logger
 from .clock import elapsed_ms, now_ms
 from .suspect_exchange import SuspectExchange
@@ -69,7 +68,7 @@
         map made for another demand, as measured by the leader.
     link_mbps : float
         Rate of the host's link, 0 if unknown.
-    suspicions : Suspicions or None
+    verdicts : sequence of SharedVerdict
         Verdicts on requests that crash upstreams; not all that the host has.
     """
 
@@ -84,7 +83,7 @@
     slowed_services: Sequence[str] = ()
     post_shift_skews: dict[str, float] = {}
     link_mbps: float = 0.0
-    suspicions: Suspicions | None = None
+    verdicts: Sequence[SharedVerdict] = ()
 
 
 class HostState(NamedTuple):
@@ -98,9 +97,7 @@
 
 def encode_heartbeat(heartbeat: HostHeartbeat) -> bytes:
     """Return the bytes of a heartbeat."""
-    suspicions = heartbeat.suspicions
-    encoded = None if suspicions is None else to_array(suspicions)
-    return cbor2.dumps([FORMAT, *heartbeat._replace(suspicions=encoded)])
+    return cbor2.dumps([FORMAT, *heartbeat])
 
 
 def decode_heartbeat(data: bytes) -> HostHeartbeat:
@@ -126,10 +123,7 @@
             heartbeat.sequence_number, int
         )
         is_valid = is_valid and isinstance(heartbeat.link_mbps, (int, float))
-        suspicions = heartbeat.suspicions
-        if suspicions is not None:
-            suspicions = from_array(suspicions)
-            is_valid = is_valid and isinstance(suspicions, Suspicions)
+        verdicts = tuple(map(_decode_verdict, heartbeat.verdicts))
     except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as error:
         raise DecodeError(f"not a heartbeat: {error}") from error
     if version != FORMAT or not is_valid:
@@ -139,7 +133,17 @@
         slowness=slowness,
         slowed_services=slowed,
         post_shift_skews=skews,
-        suspicions=suspicions,
+        verdicts=verdicts,
+    )
+
+
+def _decode_verdict(fields: Sequence[Any]) -> SharedVerdict:
+    """Return a decoded verdict; raises `TypeError` or `ValueError` if it is invalid."""
+    suspicion, crash_ids = fields[:2]
+    digest, verdict, n_rounds, n_crashes, left_ms = map(int, suspicion[:5])
+    return SharedVerdict(
+        Suspicion(digest, Verdict(verdict), n_rounds, n_crashes, left_ms),
+        tuple(map(int, crash_ids)),
     )
 
 
@@ -298,10 +302,9 @@
         )
         data = encode_heartbeat(heartbeat)
         if self._suspects is not None:
-            max_bytes = MAX_DATAGRAM_BYTES - len(data)
-            suspicions = self._suspects.next_message(max_bytes)
-            if suspicions is not None:
-                data = encode_heartbeat(heartbeat._replace(suspicions=suspicions))
+            verdicts = self._suspects.next_verdicts(MAX_DATAGRAM_BYTES - len(data))
+            if verdicts:
+                data = encode_heartbeat(heartbeat._replace(verdicts=verdicts))
         for endpoint in list(self._endpoints):
             try:
                 await self._socket.sendto(data, endpoint)
@@ -348,7 +351,7 @@
             )
             self._timed_out.discard(heartbeat.host)
         self._endpoints.add(endpoint)
-        self._exchange_suspicions(heartbeat, previous)
+        self._take_verdicts(heartbeat, previous)
         if heartbeat.is_leader:
             self._other_leader_seen_at_ms, self._other_leader = now_ms(), heartbeat.host
         elif heartbeat.host == self._other_leader:
@@ -362,13 +365,11 @@
         if previous is None or previous.heartbeat.slowness != heartbeat.slowness:
             self._on_slowness(self.slowness())
 
-    def _exchange_suspicions(
-        self, heartbeat: HostHeartbeat, previous: _Peer | None
-    ) -> None:
+    def _take_verdicts(self, heartbeat: HostHeartbeat, previous: _Peer | None) -> None:
         if self._suspects is None:
             return
-        if heartbeat.suspicions is not None:
-            self._suspects.merge(heartbeat.suspicions)
+        if heartbeat.verdicts:
+            self._suspects.merge(heartbeat.verdicts)
         if previous is None or previous.heartbeat.start_id != heartbeat.start_id:
             self._suspects.resend_lasting()
 
--- a/poplarward/direct/suspect_exchange.py
+++ b/poplarward/direct/suspect_exchange.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import trio
 
-from ..protocol.suspects import Suspicions
+from ..protocol.verdicts import SharedVerdict
 from ..requests.suspects import SuspectTable
 
 __all__ = ["SuspectExchange"]
@@ -41,12 +43,12 @@
         self._repeated: list[int] = []
         self._repeated_at = float("-inf")
 
-    def next_message(self, max_bytes: int) -> Suspicions | None:
+    def next_verdicts(self, max_bytes: int) -> list[SharedVerdict]:
         """Return the verdicts for the next heartbeat, in at most so many bytes."""
         suspects = self._suspects
         if suspects.is_empty:
             self._sends_left.clear()
-            return None
+            return []
         suspects.quarantine_causes()
         self._schedule_changes(FRESH_SENDS)
         n_entries = max(0, (max_bytes - FRAME_BYTES) // MAX_ENTRY_BYTES)
@@ -57,13 +59,12 @@
                 # Behind those that have not been sent as often.
                 self._sends_left[digest] = n_left
         chosen = dict.fromkeys([*fresh, *self._due_repeats()])
-        message = suspects.export(list(chosen)[:n_entries])
-        return message if message.entries else None
+        return suspects.export(list(chosen)[:n_entries])
 
-    def merge(self, message: Suspicions) -> None:
+    def merge(self, verdicts: Iterable[SharedVerdict]) -> None:
         """Merge the verdicts that another host has sent."""
         self._schedule_changes(FRESH_SENDS)
-        lacking = self._suspects.merge(message.entries, message.crash_ids)
+        lacking = self._suspects.merge_shared(verdicts)
         self._schedule_changes(FORWARDED_SENDS)
         for digest in lacking:
             self._sends_left.setdefault(digest, 1)
--- a/poplarward/requests/suspects/__init__.py
+++ b/poplarward/requests/suspects/__init__.py
@@ -5,17 +5,15 @@
 connection, and `SuspectSlot` lets suspects run one at a time.
 """
 
-from .crash_detector import CrashDetector
-from .gossip import SuspectGossip
-from .slot import SlotHold, SuspectSlot
-from .table import SuspectTable, crash_id, request_digest
+import lazy_loader
 
-__all__ = [
-    "CrashDetector",
-    "SlotHold",
-    "SuspectGossip",
-    "SuspectSlot",
-    "SuspectTable",
-    "crash_id",
-    "request_digest",
-]
+# Entry hosts without agents need the table alone, not the messages of the others.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        "crash_detector": ["CrashDetector"],
+        "gossip": ["SuspectGossip"],
+        "slot": ["SlotHold", "SuspectSlot"],
+        "table": ["SuspectTable", "crash_id", "request_digest"],
+    },
+)
--- a/poplarward/requests/suspects/identification.py
+++ b/poplarward/requests/suspects/identification.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Mapping
 
 __all__ = ["PROOF_CRASHES", "REPEATED_CRASHES", "identify_causes"]
@@ -61,14 +62,11 @@
         for request, crashes in crash_ids.items()
         if len(crashes) >= REPEATED_CRASHES
     }
-    is_explained = set().union(*repeated.values()).issuperset(all_crashes)
+    n_repeated = Counter(crash for crashes in repeated.values() for crash in crashes)
+    is_explained = n_repeated.keys() >= set(all_crashes)
     causes = set()
     for request, crashes in repeated.items():
-        is_alone = all(
-            crashes.isdisjoint(others)
-            for other, others in repeated.items()
-            if other != request
-        )
+        is_alone = all(n_repeated[crash] == 1 for crash in crashes)
         is_sure = is_settled[request] and is_alone and is_explained
         if len(crashes) >= PROOF_CRASHES or is_sure:
             causes.add(request)
--- a/poplarward/requests/suspects/table.py
+++ b/poplarward/requests/suspects/table.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import trio
 
-from ...protocol.suspects import Suspicion, Suspicions, Verdict
+from ...protocol.verdicts import SharedVerdict, Suspicion, Verdict
 from ...telemetry import get_logger
 from .identification import PROOF_CRASHES, REPEATED_CRASHES, identify_causes
 
@@ -230,25 +230,26 @@
     def changes_since(self, n_changes: int) -> list[Suspicion]:
         """Return the verdicts that have changed since a number of changes."""
         self.drop_expired()
-        return self.export(self.digests_since(n_changes)).entries
+        shared = self.export(self.digests_since(n_changes))
+        return [verdict.suspicion for verdict in shared]
 
-    def export(self, digests: Iterable[int]) -> Suspicions:
+    def export(self, digests: Iterable[int]) -> list[SharedVerdict]:
         """Return the verdicts on some requests, with the crashes of each."""
         now = trio.current_time()
-        found = {d: e for d in digests if (e := self._find(d)) is not None}
-        return Suspicions(
-            [
+        return [
+            SharedVerdict(
                 Suspicion(
                     digest,
                     known.verdict,
                     known.n_rounds,
                     known.n_crashes,
                     int((known.expires_at - now) * 1000),
-                )
-                for digest, known in found.items()
-            ],
-            [sorted(known.crash_ids) for known in found.values()],
-        )
+                ),
+                tuple(sorted(known.crash_ids)),
+            )
+            for digest in digests
+            if (known := self._find(digest)) is not None
+        ]
 
     def digests_since(self, n_changes: int) -> list[int]:
         """Return the requests whose verdicts have changed since a number of changes."""
@@ -262,20 +263,21 @@
             if known.verdict is Verdict.QUARANTINED or known.is_repeated
         ]
 
-    def merge(
-        self, entries: Iterable[Suspicion], crash_ids: Sequence[Sequence[int]] = ()
-    ) -> list[int]:
-        """Merge verdicts of another process, and the crashes of each if they are known.
+    def merge(self, entries: Iterable[Suspicion]) -> None:
+        """Merge verdicts of another process that only counts crashes."""
+        self.merge_shared(map(SharedVerdict, entries))
+
+    def merge_shared(self, verdicts: Iterable[SharedVerdict]) -> list[int]:
+        """Merge verdicts of another process with the crashes that they follow from.
 
         Returns the requests on which the other process lacks what is known here.
         """
         lacking = []
-        for number, entry in enumerate(entries):
+        for entry, crash_ids in verdicts:
             left_ms = min(float(entry.left_ms), self._keep_ms)
             if left_ms < MIN_LEFT_MS:
                 continue
-            crashes = crash_ids[number] if number < len(crash_ids) else ()
-            if self._merge_one(entry, frozenset(crashes), left_ms):
+            if self._merge_one(entry, frozenset(crash_ids), left_ms):
                 lacking.append(entry.digest)
         return lacking
 
--- a/tests/platform/test_entry_process.py
+++ b/tests/platform/test_entry_process.py
@@ -201,3 +201,14 @@
         nursery.start_soon(recover)
         async with running_entry(tmp_path, store, upstream) as entry:
             assert (await entry.call("/read/1")).status == 200
+
+
+def test_entry_role_does_not_load_the_messages_of_other_paths():
+    """They need pydantic, with 6 MB of memory and a third of the start's time."""
+    check = (
+        "import sys, poplarward.platform.entry_role; print('pydantic' in sys.modules)"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", check], capture_output=True, check=True, text=True
+    )
+    assert result.stdout.strip() == "False"
