--- a/tests/direct/test_crash_watch.py
+++ b/tests/direct/test_crash_watch.py
@@ -7,11 +7,14 @@
 import cbor2
 import pytest
 import trio
+import trio.testing
 
 from poplarward.direct.host_heartbeats import (
     FORMAT,
     MAX_DATAGRAM_BYTES,
+    HeartbeatExchange,
     HostHeartbeat,
+    HostState,
     decode_heartbeat,
     encode_heartbeat,
 )
@@ -28,6 +31,7 @@
     ScriptedUpstream,
     cut,
     failing,
+    good,
     hanging,
     not_run,
     open_relay,
@@ -113,8 +117,28 @@
         assert (await harness.call(target, method, b"other")).status == 200
 
 
-async def test_request_is_refused_if_the_verdict_comes_while_it_waits():
+async def test_quarantined_request_does_not_wait_for_a_slot():
     upstream = ScriptedUpstream(*[hanging] * 8)
+    async with open_relay(upstream) as harness, trio.open_nursery() as nursery:
+        for number in range(8):
+            nursery.start_soon(harness.call, f"/pay/{number}", "POST")
+        while len(upstream.seen) < 8:
+            await trio.sleep(0.01)
+        harness.suspects.quarantine(digest_of("/read/1"))
+        refused = await harness.call("/read/1")
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) > 500
+        nursery.cancel_scope.cancel()
+
+
+async def test_request_is_refused_if_the_verdict_comes_while_it_waits():
+    released = trio.Event()
+
+    async def wait_for_release(stream, request):
+        await released.wait()
+        await good(stream, request)
+
+    upstream = ScriptedUpstream(*[wait_for_release] * 8)
     async with open_relay(upstream) as harness, trio.open_nursery() as nursery:
         for number in range(8):
             nursery.start_soon(harness.call, f"/pay/{number}", "POST")
@@ -126,13 +150,14 @@
             results.append(await harness.call("/read/1"))
 
         nursery.start_soon(wait_in_queue)
-        await trio.sleep(0.05)
+        await trio.sleep(0.03)
         harness.suspects.quarantine(digest_of("/read/1"))
+        released.set()
         while not results:
             await trio.sleep(0.01)
         assert results[0].status == 503
+        assert float(results[0].headers["retry-after"]) > 500
         assert "/read/1" not in {request.target for request in upstream.seen}
-        nursery.cancel_scope.cancel()
 
 
 async def test_request_that_crashed_an_upstream_before_is_not_called_not_run():
@@ -302,3 +327,51 @@
         assert with_none == len(cbor2.dumps([FORMAT, *heartbeat()[:11]])) + 1
 
     trio.run(run)
+
+
+async def test_verdicts_pass_between_hosts_and_to_one_that_restarts():
+    def start(name):
+        table = SuspectTable()
+        exchange = HeartbeatExchange(
+            name,
+            name,
+            lambda: HostState({}, {}),
+            lambda: True,
+            lambda loads: None,
+            suspects=SuspectExchange(table),
+        )
+        return table, exchange
+
+    async def run_until_known(nursery, table, exchange):
+        scope = trio.CancelScope()
+
+        async def run():
+            with scope:
+                await exchange.run()
+
+        nursery.start_soon(run)
+        with trio.fail_after(2):
+            while table.verdict(DIGEST) is not Verdict.QUARANTINED:
+                await trio.sleep(0.01)
+        return scope
+
+    first_table, first = start("front-1")
+    await first.start("127.0.0.1", 0)
+    ports = []
+    async with trio.open_nursery() as nursery:
+        for crash in (7, 8, 9):
+            first_table.record_crash(DIGEST, crash)
+        first_table.quarantine_causes()
+        await run_until_known(nursery, first_table, first)
+        for _ in range(2):  # The second time it has lost all that it knew.
+            table, other = start("front-2")
+            await other.start("127.0.0.1", ports[0] if ports else 0)
+            ports = [other._socket.getsockname()[1]]
+            first.add_endpoints([("127.0.0.1", ports[0])])
+            other.add_endpoints([first._socket.getsockname()])
+            scope = await run_until_known(nursery, table, other)
+            scope.cancel()
+            await trio.testing.wait_all_tasks_blocked()
+            other.close()
+        nursery.cancel_scope.cancel()
+    first.close()
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -10,6 +10,7 @@
 from tests.platform.crash_scenarios import MARK, Scenario, play
 
 MAX_LATE_SENDS = 3
+MAX_CRASHES = 3  # A request is identified by its third crash at the latest.
 
 LOADS = (
     Scenario("one"),
@@ -51,6 +52,9 @@
         n_late = record.late_sends(target)
         if n_late > MAX_LATE_SENDS:
             yield f"{scenario.name}: {target} was sent {n_late} times too late"
+        n_crashes = sum(end.target == target for end in record.ends)
+        if n_crashes > MAX_CRASHES:
+            yield f"{scenario.name}: {target} crashed {n_crashes} upstreams"
     least = 0.97 if scenario.has_own_ends else 0.99
     if record.served_share() < least:
         yield f"{scenario.name}: {record.served_share():.4f} served"
