--- a/tests/platform/entry_process.py
+++ b/tests/platform/entry_process.py
@@ -36,6 +36,17 @@
     raise AssertionError("no free ports")
 
 
+async def http_get(address, path):
+    """Return the status and body of a GET."""
+    connection = await Http1Pool(address, 0).acquire()
+    try:
+        await connection.send("GET", path, [(b"Host", b"x")], b"")
+        head = await connection.read_head()
+        return head.status, await connection.read_body(1_000_000)
+    finally:
+        await connection.close()
+
+
 class EntryProcess:
     """An entry host's process, which can be killed and started again."""
 
@@ -74,13 +85,7 @@
 
     async def get(self, port, path):
         """Return the status and body of a GET at one of the host's ports."""
-        connection = await Http1Pool(f"{self.ip}:{port}", 0).acquire()
-        try:
-            await connection.send("GET", path, [(b"Host", b"x")], b"")
-            head = await connection.read_head()
-            return head.status, await connection.read_body(1_000_000)
-        finally:
-            await connection.close()
+        return await http_get(f"{self.ip}:{port}", path)
 
     def kill(self):
         """Kill the process, if it runs."""
--- a/tests/platform/test_entry_process.py
+++ b/tests/platform/test_entry_process.py
@@ -12,7 +12,6 @@
 import pytest
 import trio
 
-from poplarward.transport.http1_client import Http1Pool
 from tests.direct.relay_harness import (
     ScriptedUpstream,
     good,
@@ -20,7 +19,7 @@
     request_bytes,
 )
 from tests.platform.documents import config_document, server_document, settings_text
-from tests.platform.entry_process import free_ports
+from tests.platform.entry_process import free_ports, http_get
 from tests.platform.store_standin import StoreStandin
 
 
@@ -33,14 +32,7 @@
         self.settings_path = settings_path
 
     async def get(self, port, path):
-        pool = Http1Pool(f"127.0.0.1:{port}", 0)
-        connection = await pool.acquire()
-        try:
-            await connection.send("GET", path, [(b"Host", b"x")], b"")
-            head = await connection.read_head()
-            return head.status, await connection.read_body(1_000_000)
-        finally:
-            await connection.close()
+        return await http_get(f"127.0.0.1:{port}", path)
 
     async def wait_ready(self, status=200):
         while True:
