Send upstreams that leave or ask for a pause no requests that they do not want

The account is kept by start of the upstream, so that it outlasts a gap in the registry and ends with a restart. It is read from each response: refusals, heads of streams, late responses to others, and the host's own calls to ranks. A request whose slot was taken before the notice came goes elsewhere. A response without the notice ends the leaving only if its request was sent after it was last stated; as none is sent any more, an upstream that stays registered gets a health probe each 5 s. A pause is bounded to a minute, and more than an hour is taken for a fault, so that no upstream shuts itself out for long. A request waits for a pause or a refused connection's backoff that ends within its time in the queue, and is refused at once otherwise.

Other hosts are not told: an upstream that leaves still serves those that have not heard it, and one that asks for a pause asks the host that it refused.

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -102,7 +102,7 @@
         except trio.Cancelled:
             await connection.close()
             raise
-        if failure := self._reason_not_to_send(job):
+        if failure := self._reason_not_to_send(job, upstream):
             await upstream.pool.release_unused(connection)
             return failure
         job.tried.append(upstream.entry.id)
@@ -173,8 +173,10 @@
             return self._routing_state.max_idle_s(job.service)
         return SAFE_IDLE_S
 
-    def _reason_not_to_send(self, job: Job) -> Failure | None:
+    def _reason_not_to_send(self, job: Job, upstream: Upstream) -> Failure | None:
         """Return why a request must no longer be sent, None if it may."""
+        if not upstream.is_available(now_ms()):
+            return not_sent("the upstream wants no requests now")
         if job.left_ms() <= 0:
             return not_sent("the deadline has passed", is_final=True)
         if job.key is not None and not self._routing_state.allows_key(job.key):
@@ -222,7 +224,12 @@
         for _ in range(MAX_SKIPPED_RESPONSES):
             response = await connection.read_head()
             metadata = self._protocol.read_response(response)
-            if metadata.request_id in (None, request.id):
+            is_own = metadata.request_id in (None, request.id)
+            if not metadata.is_misdirected:
+                # When the request of a late response was sent is not known.
+                sent_at_ms = job.sent_at_ms if is_own else float("-inf")
+                upstream.wanted.record(metadata.notice, sent_at_ms, now_ms())
+            if is_own:
                 if not metadata.is_misdirected:
                     self._routing_state.upstream_limits.record_response(
                         upstream.limited, metadata.limit_per_s, job.sent_at_ms, now_ms()
--- a/poplarward/direct/model.py
+++ b/poplarward/direct/model.py
@@ -134,11 +134,22 @@
 
 
 class Service(NamedTuple):
-    """A set of interchangeable upstreams; ``engine`` is None for plain services."""
+    """A set of interchangeable upstreams.
+
+    Attributes
+    ----------
+    name : str
+    max_connections : int
+    engine : EngineProfile or None
+        None for plain services.
+    health_path : str
+        Path of its upstreams' health probe, empty without one.
+    """
 
     name: str
     max_connections: int
     engine: EngineProfile | None
+    health_path: str = ""
 
 
 class Workspace(NamedTuple):
--- a/poplarward/direct/ports.py
+++ b/poplarward/direct/ports.py
@@ -11,6 +11,7 @@
 from ..transport.http1_client import ResponseHead
 from ..transport.http1_server import RawHeaders, RequestHead
 from .model import CallerRequest
+from .upstream_notices import Notice
 
 __all__ = [
     "CallProtocol",
@@ -101,6 +102,8 @@
     limit_per_s : float or None
         Requests per second that the upstream takes from all hosts together, if it
         names a limit.
+    notice : Notice
+        What the upstream asks for.
     """
 
     request_id: str | None
@@ -109,6 +112,7 @@
     is_stamped: bool
     faulty_upstream_id: str | None
     limit_per_s: float | None = None
+    notice: Notice = Notice()
 
 
 class CallProtocol(Protocol):
--- a/poplarward/direct/routing_state.py
+++ b/poplarward/direct/routing_state.py
@@ -31,7 +31,7 @@
 # Crashed ranks need seconds to come back, and callers retry only once.
 GROUP_RETRY_AFTER_MS = 2_500.0
 IDLE_DROP_MEMORY_MS = 20_000.0  # A service that dropped idle connections repeats it.
-LIMIT_POLL_MS = 25.0  # An upstream's limit allows another request with time alone.
+POLL_MS = 25.0  # Limits and pauses of upstreams end with time alone.
 NO_UPSTREAM_RETRY_AFTER_MS = 500.0  # Upstreams re-register within about 2 s.
 
 log = get_logger("beliefs")
@@ -200,11 +200,12 @@
                 "its rank group is not open", GROUP_RETRY_AFTER_MS
             )
         if not self.upstreams.candidates(service, at_ms):
-            retry_after_ms = self.upstreams.next_retry_ms(service, at_ms)
-            return queue.refuse_until(
-                "no upstream takes requests",
-                retry_after_ms or NO_UPSTREAM_RETRY_AFTER_MS,
-            )
+            retry_after_ms = self.upstreams.next_available_ms(service, at_ms)
+            if retry_after_ms is None or retry_after_ms > request.max_wait_ms:
+                return queue.refuse_until(
+                    "no upstream takes requests",
+                    retry_after_ms or NO_UPSTREAM_RETRY_AFTER_MS,
+                )
         wait_ms = self._limits_wait_ms(service, at_ms)
         if wait_ms > request.max_wait_ms:
             return queue.refuse_at_rate(
@@ -338,10 +339,11 @@
 
     def _begin_waiting(self, service: str) -> float | None:
         """Tell the other hosts that requests wait; returns when to look again."""
-        if not self.has_limit(service):
-            return None
-        self.on_load_change()
-        return LIMIT_POLL_MS
+        if self.has_limit(service):
+            self.on_load_change()
+            return POLL_MS
+        is_waited_for = self.upstreams.next_available_ms(service, now_ms()) is not None
+        return POLL_MS if is_waited_for else None
 
     def _load(
         self, service: str, candidates: Sequence[Candidate], objective_ms: float
--- a/poplarward/direct/upstreams.py
+++ b/poplarward/direct/upstreams.py
@@ -11,6 +11,7 @@
 from .model import UpstreamEntry
 from .placement import Candidate
 from .upstream_limits import LimitedUpstream
+from .upstream_notices import UpstreamNotices
 
 __all__ = ["Upstream", "UpstreamTable"]
 
@@ -36,9 +37,11 @@
         Its time over that of other upstreams, as reported by itself.
     limited : LimitedUpstream
         Identifies it where its limit is kept.
+    wanted : UpstreamRequests
+        Which requests it still wants from this host, as it has stated itself.
     """
 
-    def __init__(self, entry: UpstreamEntry):
+    def __init__(self, entry: UpstreamEntry, notices: UpstreamNotices):
         self.entry = entry
         self.n_own_in_flight = 0
         self.n_peer_in_flight = 0.0
@@ -51,12 +54,22 @@
         # A start ends with at most one crash, so one number identifies both.
         start = crash_id(entry.id, entry.started_at_ms)
         self.limited = LimitedUpstream(entry.id, entry.service, start)
+        self.wanted = notices.of(start, entry.id)
 
     def accepts_requests(self, now_ms: float) -> bool:
         """Whether the upstream is neither draining nor gone."""
         if self.remove_at_ms is not None and now_ms >= self.remove_at_ms:
             return False
-        return not self.entry.is_draining
+        return not (self.entry.is_draining or self.wanted.is_leaving)
+
+    def is_available(self, now_ms: float) -> bool:
+        """Whether a request may be sent to the upstream now."""
+        return self.accepts_requests(now_ms) and now_ms >= self.available_at_ms
+
+    @property
+    def available_at_ms(self) -> float:
+        """When it may be tried again, if it does not leave."""
+        return max(self.health.down_until_ms, self.wanted.paused_until_ms)
 
     def record_success(self, latency_ms: float | None) -> None:
         """Record a response that was no failure."""
@@ -92,6 +105,7 @@
 
     def __init__(self, on_change: Callable[[], None] = lambda: None):
         self._by_id: dict[str, Upstream] = {}
+        self._notices = UpstreamNotices()
         self._on_change = on_change
         self._removed: list[Upstream] = []
 
@@ -139,7 +153,7 @@
         else:
             if current is not None:
                 self._removed.append(current)
-            self._by_id[entry.id] = Upstream(entry)
+            self._by_id[entry.id] = Upstream(entry, self._notices)
         log.info(
             "upstream.registered",
             upstream=entry.id,
@@ -176,9 +190,8 @@
         self, service: str, now_ms: float, base_load: float = 0.0
     ) -> list[Candidate]:
         """Return the upstreams of a service that accept requests now."""
-        usable = [u for u in self.of_service(service) if u.accepts_requests(now_ms)]
-        reachable = [u for u in usable if not u.health.is_down(now_ms)]
-        median_ms = _median_latency_ms(reachable)
+        available = [u for u in self.of_service(service) if u.is_available(now_ms)]
+        median_ms = _median_latency_ms(available)
         return [
             Candidate(
                 u.entry.id,
@@ -188,17 +201,28 @@
                 u.failure_share,
                 base_load,
             )
-            for u in reachable
+            for u in available
         ]
 
-    def next_retry_ms(self, service: str, now_ms: float) -> float | None:
-        """Return the time until an unreachable upstream may be tried again, if any."""
-        down = [
-            u.health.down_until_ms - now_ms
+    def next_available_ms(self, service: str, now_ms: float) -> float | None:
+        """Return the time until an upstream of a service may be tried again.
+
+        None if there is none, or if none has to be waited for.
+        """
+        waits_ms = [
+            u.available_at_ms - now_ms
             for u in self.of_service(service)
-            if u.accepts_requests(now_ms) and u.health.is_down(now_ms)
+            if u.accepts_requests(now_ms) and not u.is_available(now_ms)
+        ]
+        return min(waits_ms, default=None)
+
+    def due_for_check(self, now_ms: float) -> list[Upstream]:
+        """Return upstreams that said they leave and have stayed registered."""
+        return [
+            upstream
+            for upstream in self._by_id.values()
+            if not upstream.entry.is_draining and upstream.wanted.take_check(now_ms)
         ]
-        return min(down, default=None)
 
     def begin(self, upstream: Upstream) -> None:
         """Count a request as in flight, before it is sent."""
@@ -226,6 +250,11 @@
         while self._removed:
             await self._removed.pop().pool.close()
 
+    def discard_notices(self, now_ms: float) -> None:
+        """Forget what upstreams that ended a while ago have asked for."""
+        registered = {upstream.limited.start for upstream in self._by_id.values()}
+        self._notices.discard_old(registered, now_ms)
+
 
 def _is_same_instance(current: UpstreamEntry, entry: UpstreamEntry) -> bool:
     return (current.address, current.started_at_ms) == (
--- a/poplarward/platform/configuration.py
+++ b/poplarward/platform/configuration.py
@@ -97,7 +97,12 @@
     engine = None
     if reader.has("engine"):
         engine = _engine(reader.table("engine"))
-    return Service(reader.text("name"), reader.integer("maxConns"), engine)
+    return Service(
+        reader.text("name"),
+        reader.integer("maxConns"),
+        engine,
+        reader.text("healthPath", ""),
+    )
 
 
 def _engine(reader: FieldReader) -> EngineProfile:
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -20,6 +20,7 @@
 from ..direct.routing_state import RoutingState
 from ..direct.suspect_exchange import SuspectExchange
 from ..direct.upstream_limits import UpstreamLimits
+from ..direct.upstreams import Upstream
 from ..errors import ConflictError, FindingsError, NotFound, StoreUnavailable
 from ..requests.suspects import SuspectTable
 from ..state.budget import Backoff, RetryBudget
@@ -32,6 +33,7 @@
 from .rank_control import PlatformRankControl
 from .settings import PlatformSettings, read_platform_settings
 from .store import PlatformStore, StoreFeed
+from .upstream_calls import UpstreamCalls
 
 __all__ = ["EntryRole"]
 
@@ -47,6 +49,8 @@
 SHUTDOWN_RESERVE_MS = 700.0  # Kept of the time that the platform allows.
 MIN_SHUTDOWN_MS = 1_500.0  # Callers learn by then that this host is stopping.
 SHUTDOWN_POLL_S = 0.05
+UPKEEP_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 1.0  # A probe waits for a slot, as any request.
 HOSTS_KIND = "entryhosts"
 STORE_RETRIES_PER_S = 3.0  # All hosts together stay far below the store's limits.
 
@@ -134,16 +138,18 @@
             limits,
         )
         self._routing_state.on_load_change = self._exchange.notify_load_change
+        headers = PlatformHeaders()
+        self._calls = UpstreamCalls(self._routing_state.upstreams, headers)
         self._controller = MapController(
             self._routing_state,
-            PlatformRankControl(self._routing_state.upstreams, settings.link_mbps),
+            PlatformRankControl(self._calls, settings.link_mbps),
             self._exchange,
             rng,
             self._share_slowness,
         )
         relay = Relay(
             self._routing_state,
-            PlatformHeaders(),
+            headers,
             RequestLog(self._routing_state, self._metrics),
             CrashWatch(suspects, self._exchange.is_chosen),
             rng,
@@ -177,7 +183,7 @@
             nursery.start_soon(self._registry.run)
             nursery.start_soon(self._exchange.run)
             nursery.start_soon(self._register)
-            nursery.start_soon(self._discard_removed)
+            nursery.start_soon(self._maintain_upstreams)
             nursery.start_soon(self._controller.run)
             await self._start_server(nursery, self._callers, settings.callers_address)
             for address, handler in (
@@ -276,11 +282,24 @@
         log.info("hosts.registered", n_others=len(endpoints))
         await self._exchange.send_heartbeat()
 
-    async def _discard_removed(self) -> None:
-        while True:
-            await trio.sleep(1.0)
-            await self._routing_state.upstreams.close_removed()
-            self._routing_state.upstream_limits.discard_old(now_ms())
+    async def _maintain_upstreams(self) -> None:
+        upstreams = self._routing_state.upstreams
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(UPKEEP_INTERVAL_S)
+                await upstreams.close_removed()
+                upstreams.discard_notices(now_ms())
+                self._routing_state.upstream_limits.discard_old(now_ms())
+                for upstream in upstreams.due_for_check(now_ms()):
+                    nursery.start_soon(self._probe, upstream)
+
+    async def _probe(self, upstream: Upstream) -> None:
+        """Ask an upstream for a response, which states whether it is leaving."""
+        service = self._routing_state.service(upstream.entry.service)
+        if service is not None and service.health_path:
+            await self._calls.call(
+                upstream.entry.id, "GET", service.health_path, PROBE_TIMEOUT_S
+            )
 
     async def _respond_ready(self, exchange: Exchange) -> None:
         await exchange.respond(200 if self.is_serving() else 503, [], b"")
--- a/poplarward/platform/headers.py
+++ b/poplarward/platform/headers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 
 import trio
 
 from ..direct.model import CallerRequest
 from ..direct.ports import ForwardingContext, ResponseMetadata
+from ..direct.upstream_notices import Notice
 from ..telemetry.logs import get_logger
 from ..transport.decoding import decode_digits
 from ..transport.http1_client import ResponseHead, header_value
@@ -30,13 +32,23 @@
 _PROMPT_PARTS = b"poplarward-prompt-prefix"
 _AT_FAULT = b"at-server"
 _LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _LAST_EVENT = b"last-event-id"
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _MAX_URGENCY = 9
 _MAX_SHARED_PARTS = 8
-_LIMIT_NUMBER = re.compile(rb"([0-9]{1,10}(\.[0-9]{0,6})?|\.[0-9]{1,6})(e[+-]?[0-9])?")
-_LIMIT_LOG_INTERVAL_S = 10.0
+_NUMBER = re.compile(rb"([0-9]{1,10}(\.[0-9]{0,20})?|\.[0-9]{1,20})(e[+-]?[0-9])?")
+_IS_LEAVING = {b"1": True, b"0": False}
+_MAX_RETRY_AFTER_S = 3_600.0  # Longer ones are taken for a fault of the upstream.
+_LOG_INTERVAL_S = 10.0
+_UNREADABLE_EVENTS = {
+    _LIMIT: "upstream.limit_unreadable",
+    _LEAVING: "upstream.leaving_unreadable",
+    _RETRY_AFTER: "upstream.retry_after_unreadable",
+}
 _PROMPT_PART = re.compile(rb"\s*([0-9a-fA-F]{1,32}):[0-9]{1,9}\s*")
 
 _CONNECTION_HEADERS = frozenset(
@@ -59,6 +71,12 @@
 )
 
 
+@dataclass
+class _UnreadableHeader:
+    logged_at: float = float("-inf")
+    n_since_logged: int = 0
+
+
 class PlatformHeaders:
     """Reads and writes the headers of the platform's callers and upstreams.
 
@@ -66,7 +84,7 @@
     """
 
     def __init__(self) -> None:
-        self._limit_logged_at = float("-inf")
+        self._unreadable: dict[bytes, _UnreadableHeader] = {}
 
     def read_request(self, head: RequestHead) -> CallerRequest:
         """Return the metadata of a caller's request."""
@@ -114,22 +132,49 @@
             is_misdirected=head.status == _MISDIRECTED,
             is_stamped=head.get(_STAMP) is not None,
             faulty_upstream_id=None if at_fault is None else at_fault.decode("latin-1"),
-            limit_per_s=self._decode_limit(head.get(_LIMIT)),
+            limit_per_s=self._decode_number(head, _LIMIT),
+            notice=self._read_notice(head),
         )
 
-    def _decode_limit(self, value: bytes | None) -> float | None:
-        """Return the limit that an upstream names; None if it can't be read."""
+    def _read_notice(self, head: ResponseHead) -> Notice:
+        leaving = head.get(_LEAVING)
+        is_leaving = False
+        if leaving is not None:
+            is_leaving = _IS_LEAVING.get(leaving.strip())
+            if is_leaving is None:
+                self._log_unreadable(_LEAVING, leaving)
+        if head.status != _UNAVAILABLE:
+            return Notice(is_leaving)
+        seconds = self._decode_number(head, _RETRY_AFTER, _MAX_RETRY_AFTER_S)
+        return Notice(is_leaving, None if seconds is None else 1000 * seconds)
+
+    def _decode_number(
+        self, head: ResponseHead, name: bytes, limit: float = float("inf")
+    ) -> float | None:
+        """Return a header's number up to a limit; None if it can't be read."""
+        value = head.get(name)
         if value is None:
             return None
         text = value.strip().lower()
-        if _LIMIT_NUMBER.fullmatch(text):
-            return float(text)
-        now = trio.current_time()
-        if now >= self._limit_logged_at + _LIMIT_LOG_INTERVAL_S:
-            self._limit_logged_at = now
-            log.warning("upstream.limit_unreadable", value=repr(value[:40]))
+        if _NUMBER.fullmatch(text) and (number := float(text)) <= limit:
+            return number
+        self._log_unreadable(name, value)
         return None
 
+    def _log_unreadable(self, name: bytes, value: bytes) -> None:
+        """Log a header that can't be read, at most every 10 s, with their number."""
+        header = self._unreadable.setdefault(name, _UnreadableHeader())
+        header.n_since_logged += 1
+        now = trio.current_time()
+        if now < header.logged_at + _LOG_INTERVAL_S:
+            return
+        log.warning(
+            _UNREADABLE_EVENTS[name],
+            value=repr(value[:40]),
+            n=header.n_since_logged,
+        )
+        header.logged_at, header.n_since_logged = now, 0
+
     def returned_headers(self, head: ResponseHead) -> RawHeaders:
         """Return a response's headers for the caller, without connection headers."""
         return _without_connection_headers(head.headers, frozenset())
--- a/poplarward/platform/rank_control.py
+++ b/poplarward/platform/rank_control.py
@@ -6,41 +6,37 @@
 import json
 from typing import Any
 
-import trio
-
 from ..coordination.rebalancing.placement import Layer
 from ..direct.rank_group import ArmedMap, CommandResult, RankReport
-from ..direct.upstreams import UpstreamTable
-from ..errors import FindingsError, UpstreamUnreachable
+from ..errors import FindingsError
 from ..telemetry.logs import get_logger
 from ..transport.decoding import decode_json
-from ..transport.http1_client import SAFE_IDLE_S
+from ..transport.http1_server import RawHeaders
 from .fields import FieldReader
+from .upstream_calls import TIMED_OUT, UpstreamCalls
 
 __all__ = ["PlatformRankControl", "decode_report"]
 
 READ_TIMEOUT_S = 0.4  # Reports and counts take a few ms.
 COMMAND_TIMEOUT_S = 0.15  # Commands too; one without a response is sent again.
-TIMED_OUT = b"timeout"
-MAX_RESPONSE_BYTES = 4_194_304
 
 log = get_logger("ranks")
 
 
 class PlatformRankControl:
-    """Calls the ranks in an upstream table.
+    """Calls the ranks among the upstreams.
 
     See `poplarward.direct.rank_group.RankControl`.
 
     Parameters
     ----------
-    upstreams : UpstreamTable
+    calls : UpstreamCalls
     link_mbps : float
         Rate of this host's link, over which the maps for a whole group are sent.
     """
 
-    def __init__(self, upstreams: UpstreamTable, link_mbps: float):
-        self._upstreams = upstreams
+    def __init__(self, calls: UpstreamCalls, link_mbps: float):
+        self._calls = calls
         self._link_bytes_per_s = link_mbps * 1e6 / 8
 
     async def report(self, upstream_id: str) -> RankReport | None:
@@ -125,12 +121,12 @@
     async def _send(
         self, upstream_id: str, command: dict[str, Any], body: bytes, timeout_s: float
     ) -> CommandResult:
-        headers = [
+        headers: RawHeaders = [
             (b"Content-Type", b"application/json"),
             (b"Content-Length", b"%d" % len(body)),
         ]
-        status, text = await self._call(
-            upstream_id, "POST", "/order", headers, body, timeout_s
+        status, text = await self._calls.call(
+            upstream_id, "POST", "/order", timeout_s, headers, body
         )
         match status:
             case 200 | 202:
@@ -152,11 +148,10 @@
         return result
 
     async def _get(self, upstream_id: str, path: str) -> Any | None:
-        call = upstream_id, "GET", path, [], b"", READ_TIMEOUT_S
-        status, body = await self._call(*call, max_idle_s=float("inf"))
+        status, body = await self._read(upstream_id, path, float("inf"))
         if status == 0 and body != TIMED_OUT:
             # The upstream may have dropped the connection while it was idle.
-            status, body = await self._call(*call, max_idle_s=0.0)
+            status, body = await self._read(upstream_id, path, 0.0)
         if status != 200:
             log.info(
                 "ranks.read_failed", upstream=upstream_id, path=path, status=status
@@ -170,39 +165,12 @@
             )
             return None
 
-    async def _call(
-        self,
-        upstream_id: str,
-        method: str,
-        path: str,
-        headers: list[tuple[bytes, bytes]],
-        body: bytes,
-        timeout_s: float,
-        max_idle_s: float = SAFE_IDLE_S,
+    async def _read(
+        self, upstream_id: str, path: str, max_idle_s: float
     ) -> tuple[int, bytes]:
-        """Return status and body; status 0 without a response."""
-        upstream = self._upstreams.get(upstream_id)
-        if upstream is None:
-            return 0, b"unknown upstream"
-        host = (b"Host", upstream.entry.address.encode())
-        instance = (b"Poplarward-Expect-Instance", upstream_id.encode())
-        connection = None
-        is_whole = False
-        try:
-            with trio.fail_after(timeout_s):
-                connection = await upstream.pool.acquire(max_idle_s)
-                await connection.send(method, path, [host, instance, *headers], body)
-                head = await connection.read_head()
-                content = await connection.read_body(MAX_RESPONSE_BYTES)
-                is_whole = True
-                return head.status, content
-        except (UpstreamUnreachable, trio.TooSlowError) as error:
-            return 0, str(error).encode() or TIMED_OUT
-        finally:
-            if connection is not None and is_whole:
-                await upstream.pool.release(connection)
-            elif connection is not None:
-                await connection.close()
+        return await self._calls.call(
+            upstream_id, "GET", path, READ_TIMEOUT_S, max_idle_s=max_idle_s
+        )
 
 
 @functools.lru_cache(maxsize=2)
--- a/tests/platform/limit_scenarios.py
+++ b/tests/platform/limit_scenarios.py
@@ -158,12 +158,12 @@
             record.limit_named_at = record.limit_named_at or trio.current_time()
             record.named_to.setdefault(host, trio.current_time())
         if self._fleet.is_streaming:
-            await _stream(stream, request, extra)
+            await respond_with_stream(stream, request, extra)
         else:
             await stream.send_all(response(request, extra=extra))
 
 
-async def _stream(stream, request, extra):
+async def respond_with_stream(stream, request, extra):
     await stream.send_all(
         b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         b"Poplarward-Request-Id: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/platform/test_rank_control.py
+++ b/tests/platform/test_rank_control.py
@@ -11,7 +11,9 @@
 from poplarward.direct.rank_group import CommandResult
 from poplarward.direct.upstreams import UpstreamTable
 from poplarward.platform import rank_control
+from poplarward.platform.headers import PlatformHeaders
 from poplarward.platform.rank_control import PlatformRankControl
+from poplarward.platform.upstream_calls import UpstreamCalls
 from tests.direct.relay_harness import ScriptedUpstream, response
 
 N_RANKS = 72
@@ -26,7 +28,7 @@
         await nursery.start(upstream.serve)
         address = f"127.0.0.1:{upstream.port}"
         table.put(UpstreamEntry("u0", "llm", address, "a", 5, False, 1))
-        yield PlatformRankControl(table, link_mbps)
+        yield PlatformRankControl(UpstreamCalls(table, PlatformHeaders()), link_mbps)
         await table.get("u0").pool.close()
         nursery.cancel_scope.cancel()
 
--- a/tests/platform/test_short_responses.py
+++ b/tests/platform/test_short_responses.py
@@ -14,8 +14,10 @@
 from poplarward.direct.rank_group import CommandResult
 from poplarward.direct.upstreams import UpstreamTable
 from poplarward.errors import StoreUnavailable
+from poplarward.platform.headers import PlatformHeaders
 from poplarward.platform.rank_control import PlatformRankControl
 from poplarward.platform.store import PlatformStore, StoreFeed
+from poplarward.platform.upstream_calls import UpstreamCalls
 from poplarward.state.budget import Backoff, RetryBudget
 from tests.raw_server import RawServer, unframed
 
@@ -142,7 +144,7 @@
     server = await RawServer(*responses, **options).start(nursery)
     table = UpstreamTable()
     table.put(UpstreamEntry("u0", "llm", server.address, "a", 5, False, 1))
-    yield PlatformRankControl(table, 1_000.0)
+    yield PlatformRankControl(UpstreamCalls(table, PlatformHeaders()), 1_000.0)
     await table.get("u0").pool.close()
     nursery.cancel_scope.cancel()
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -31,7 +31,7 @@
     r"|coldLeftMs|storeRevision|kvUsed|kvCapacity|maxAttempts|targetLatencyMs"
     r"|gapTargetMs|timeoutMs|pathPrefix|trafficSplit|apiKeys|staleOk|waitMs|hasMore"
     r"|/picked|/objects/|healthPath|expertMb|retryBudgetRatio|retryBudgetSlack|nodeName|portRange"
-    r"|at-server|server-limit|budgetWindowS|revokeMs|graceS|drainMs",
+    r"|at-server|server-limit|server-leaving|budgetWindowS|revokeMs|graceS|drainMs",
     re.IGNORECASE,
 )
 
@@ -272,6 +272,66 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("value", "pause_ms"),
+    [
+        (b"2", 2_000.0),
+        (b" 0.25 ", 250.0),
+        (b"1.3333333333333333", 1_333.3333333333333),
+        (b"0", 0.0),
+        (b"3600", 3_600_000.0),
+        (b"3601", None),
+        (b"-1", None),
+        (b"soon", None),
+        (b"Wed, 21 Oct 2026 07:28:00 GMT", None),
+        (b"", None),
+        (b"9" * 5_000, None),
+    ],
+)
+async def test_pause_that_an_upstream_asks_for_is_a_number_of_seconds(value, pause_ms):
+    """Longer ones would let one faulty upstream shut itself out for hours."""
+    codec, headers = PlatformHeaders(), [(b"Retry-After", value)]
+    with capture_logs() as lines:
+        notice = codec.read_response(ResponseHead(503, headers)).notice
+    assert (notice.is_leaving, notice.pause_ms) == (False, pause_ms)
+    assert [line["event"] for line in lines] == (
+        ["upstream.retry_after_unreadable"] if pause_ms is None else []
+    )
+    for status in (200, 429, 500):
+        assert (
+            codec.read_response(ResponseHead(status, headers)).notice.pause_ms is None
+        )
+
+
+@pytest.mark.parametrize(
+    ("value", "is_leaving"),
+    [(b"1", True), (b" 1 ", True), (b"0", False), (b"", None), (b"yes", None)],
+)
+async def test_upstream_that_leaves_says_so_with_any_status(value, is_leaving):
+    codec = PlatformHeaders()
+    for status in (200, 404, 429, 500, 503):
+        head = ResponseHead(status, [(b"Server-Leaving", value)])
+        assert codec.read_response(head).notice.is_leaving is is_leaving
+
+
+async def test_unreadable_headers_are_counted_between_log_lines(autojump_clock):
+    codec = PlatformHeaders()
+    heads = [
+        ResponseHead(200, [(b"Server-Leaving", b"x")]),
+        ResponseHead(503, [(b"Retry-After", b"x")]),
+    ]
+    with capture_logs() as lines:
+        for number in range(100):
+            codec.read_response(heads[number % 2])
+            await trio.sleep(0.125)
+    assert [(line["event"], line["n"]) for line in lines] == [
+        ("upstream.leaving_unreadable", 1),
+        ("upstream.retry_after_unreadable", 1),
+        ("upstream.leaving_unreadable", 40),
+        ("upstream.retry_after_unreadable", 40),
+    ]
+
+
 async def test_unreadable_limits_are_logged_now_and_then(autojump_clock):
     codec, head = PlatformHeaders(), ResponseHead(200, [(b"Server-Limit", b"x" * 999)])
     with capture_logs() as lines:
