Reckon with the slots of all hosts when a request waits

Hypothesis: a host judges the wait for a slot by the releases of its own requests, though a slot that any host's request leaves may be taken by any other. A host with 1.4 releases a second refuses whoever finds one request waiting, also while 35 slots a second become free and no other host wants them; one that has just started knows of no release at all.

Change: the rate is what all hosts have in flight over the time that a request keeps its slot, divided by the hosts that have requests waiting (they say so in their heartbeats, for every service now). Free slots count as no wait. Callers who came back wait up to 1.7 s instead of 1 s: they retry once, and abandon a stream without an event after 2 s.

--- a/poplarward/direct/admission_queue.py
+++ b/poplarward/direct/admission_queue.py
@@ -26,6 +26,7 @@
     "Admitted",
     "Refused",
     "RetryAfterSchedule",
+    "SlotEstimate",
     "Ticket",
     "expected_wait_ms",
     "next_ticket",
@@ -84,6 +85,21 @@
         return self.latest_start_ms < at_ms
 
 
+class SlotEstimate(NamedTuple):
+    """How soon slots may be had.
+
+    Attributes
+    ----------
+    n_free : float
+        Slots that are free now, divided by the hosts that have requests waiting.
+    freed_per_s : float or None
+        Rate at which slots become free for this host, None if it is not known.
+    """
+
+    n_free: float
+    freed_per_s: float | None
+
+
 class Ticket(NamedTuple):
     """A request that needs a slot; ``number`` rises in order of arrival."""
 
@@ -110,7 +126,7 @@
     return request.priority, request.yields, request.is_late(at_ms), ticket.number
 
 
-def expected_wait_ms(n_ahead: int, freed_per_s: float) -> float:
+def expected_wait_ms(n_ahead: float, freed_per_s: float) -> float:
     """Return the expected wait for a slot behind other requests.
 
     Examples
@@ -179,6 +195,9 @@
     begin_waiting : callable
         Called when a request begins to wait. Returns the interval in ms at which slots
         may become free without a call of `dispatch`, or None.
+    estimate : callable
+        Returns how many slots are free, and the rate at which others become free for
+        this host, None if it is not known; the releases of its own requests count then.
     """
 
     def __init__(
@@ -186,7 +205,9 @@
         acquire_slot: Callable[[Ticket], str | None],
         return_slot: Callable[[str], None],
         begin_waiting: Callable[[], float | None] = lambda: None,
+        estimate: Callable[[], SlotEstimate] = lambda: SlotEstimate(0.0, None),
     ):
+        self._estimate = estimate
         self._begin_waiting = begin_waiting
         self._acquire_slot = acquire_slot
         self._return_slot = return_slot
@@ -214,8 +235,9 @@
             for w in self._queued.values()
             if request.yields or not w.ticket.request.yields
         )
-        freed_per_s = self._release_rate.per_s(at_ms)
-        if n_ahead and expected_wait_ms(n_ahead, freed_per_s) > request.max_wait_ms:
+        n_ahead -= self._estimate().n_free
+        freed_per_s = self._freed_per_s(at_ms)
+        if n_ahead > 0 and expected_wait_ms(n_ahead, freed_per_s) > request.max_wait_ms:
             return self._refuse("too many wait for a place")
         queued = self._queued[ticket.number] = _QueuedRequest(ticket)
         try:
@@ -240,6 +262,10 @@
             self.dispatch()
         await queued.admitted.wait()
 
+    def _freed_per_s(self, at_ms: float) -> float:
+        freed_per_s = self._estimate().freed_per_s
+        return self._release_rate.per_s(at_ms) if freed_per_s is None else freed_per_s
+
     def record_release(self) -> None:
         """Record that a request of this host has released its slot."""
         self._release_rate.record(now_ms())
@@ -271,5 +297,5 @@
 
     def _refuse(self, reason: str) -> Refused:
         at_ms = now_ms()
-        freed_per_s = self._release_rate.per_s(at_ms)
+        freed_per_s = self._freed_per_s(at_ms)
         return Refused(reason, self._retry_after.next_delay_ms(at_ms, freed_per_s))
--- a/poplarward/direct/heartbeat_format.py
+++ b/poplarward/direct/heartbeat_format.py
@@ -51,7 +51,7 @@
     limits : sequence of LimitReport
         Limits that upstreams name, and the host's use of them; not all that it has.
     waiting_services : sequence of str
-        Services with limited upstreams that requests wait for at this host.
+        Services that requests wait for at this host.
     """
 
     host: str
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -25,7 +25,7 @@
 from ..transport.http1_server import Exchange
 from .admission_queue import AdmissionRequest, Admitted, Refused
 from .attempts import AttemptSender, Completed, FailedResponse, not_sent
-from .clock import now_ms
+from .clock import elapsed_ms, now_ms
 from .crash_watch import CrashWatch
 from .job import Job
 from .model import CallerRequest, Route
@@ -36,7 +36,9 @@
 
 __all__ = ["Relay"]
 
-RETURNING_MAX_WAIT_MS = 1_000.0  # Late already, and callers retry once; see worst_load.
+# Late already, and callers retry once. They abandon a stream without an event after
+# 2 s, and its prefill takes some of that.
+RETURNING_MAX_WAIT_MS = 1_700.0
 RETURNING_TIME_LEFT_FRACTION = 0.8  # Of the route's timeout; callers' differ by 15%.
 TIME_LEFT_WAIT_FRACTION = 0.4  # The response takes the rest of the time left.
 OBJECTIVE_WAIT_FRACTION = 0.45  # Of the latency objective, for waiting in the queue.
@@ -234,10 +236,11 @@
         if upstream is None:
             routing_state.release(job.service, None)
             return not_sent("the upstream has gone")
+        acquired_at_ms = now_ms()
         try:
             return await self._sender.send(job, upstream)
         finally:
-            routing_state.release(job.service, upstream)
+            routing_state.release(job.service, upstream, elapsed_ms(acquired_at_ms))
 
     async def _refuse(self, job: Job, refusal: Failure) -> None:
         """Send the final response to a request that crashes upstreams."""
--- a/poplarward/direct/routing_state.py
+++ b/poplarward/direct/routing_state.py
@@ -8,7 +8,14 @@
 from ..telemetry.logs import get_logger
 from ..transport.http1_client import SAFE_IDLE_S
 from ..transport.http1_server import CallerLimits
-from .admission_queue import AdmissionQueue, AdmissionRequest, Admitted, Refused, Ticket
+from .admission_queue import (
+    AdmissionQueue,
+    AdmissionRequest,
+    Admitted,
+    Refused,
+    SlotEstimate,
+    Ticket,
+)
 from .batch_limit import DEFAULT_POST_SHIFT_SKEW
 from .clock import now_ms
 from .model import Configuration, Service
@@ -17,6 +24,7 @@
 from .retry_budgets import RetryBudgets, ServiceRetryBudget
 from .routing_table import RoutingTable
 from .service_load import ServiceLoad, base_load, service_load
+from .slot_turnover import SlotTurnover
 from .upstream_limits import LimitedUpstream, LimitUse, UpstreamLimits
 from .upstreams import Upstream, UpstreamTable
 
@@ -76,6 +84,7 @@
         self._rng = rng
         self._pause_trackers: dict[str, PauseTracker] = {}
         self._queues: dict[str, AdmissionQueue] = {}
+        self._turnovers: dict[str, SlotTurnover] = {}
         self._post_shift_skews: dict[str, float] = {}
         self._dropped_at_ms: dict[str, float] = {}
         self._group_closed_until_ms: dict[str, float] = {}
@@ -224,13 +233,9 @@
         )
         return self.upstream_limits.uses(upstream.limited for upstream in upstreams)
 
-    def limited_services_with_queue(self) -> list[str]:
-        """Return the services with limited upstreams that requests wait for."""
-        return [
-            name
-            for name, queue in self._queues.items()
-            if queue.n_waiting and self.has_limit(name)
-        ]
+    def services_with_queue(self) -> list[str]:
+        """Return the services that requests wait for."""
+        return [name for name, queue in self._queues.items() if queue.n_waiting]
 
     def load_of(self, service: str, objective_ms: float) -> ServiceLoad:
         """Return a service's load, and its limit for streams with a pause objective."""
@@ -251,9 +256,16 @@
         n_events = expected_tokens / max(configured.engine.steps_per_pass, 1)
         return can_end_in_time(n_events, self.pause_tracker(service).mean_ms(), left_ms)
 
-    def release(self, service: str, upstream: Upstream | None) -> None:
-        """Release the slot of a request that has ended."""
+    def release(
+        self, service: str, upstream: Upstream | None, held_ms: float | None = None
+    ) -> None:
+        """Release the slot of a request that has ended.
+
+        `held_ms` is how long it was used, None if it was not.
+        """
         self._queue(service).record_release()
+        if held_ms is not None:
+            self._turnover(service).record(held_ms)
         if upstream is not None:
             self.upstreams.end(upstream)
         self.on_load_change()
@@ -273,10 +285,35 @@
                 lambda ticket: self._acquire_slot(service, ticket),
                 self._return_slot,
                 lambda: self._begin_waiting(service),
+                lambda: self._slot_estimate(service),
             )
             self._queues[service] = queue
         return queue
 
+    def _turnover(self, service: str) -> SlotTurnover:
+        return self._turnovers.setdefault(service, SlotTurnover())
+
+    def _slot_estimate(self, service: str) -> SlotEstimate:
+        """Return how many of a service's slots are free, and how soon others are."""
+        candidates = self.upstreams.candidates(service, now_ms())
+        load = self._load(service, candidates, self.pause_objective_ms(service))
+        n_slots = sum(candidate.n_slots for candidate in candidates)
+        n_hosts_waiting = 1 + self.upstream_limits.n_waiting_hosts(service)
+        freed_per_s = self._turnover(service).freed_per_s(
+            load.n_running, n_hosts_waiting, self._usual_held_ms(service)
+        )
+        n_free = max(0.0, min(load.most_running, n_slots) - load.n_running)
+        return SlotEstimate(n_free / n_hosts_waiting, freed_per_s)
+
+    def _usual_held_ms(self, service: str) -> float | None:
+        """Return how long a stream of usual length takes, None if that is not known."""
+        configured = self.service(service)
+        pause_ms = self.pause_tracker(service).mean_ms()
+        if configured is None or configured.engine is None or pause_ms is None:
+            return None
+        engine = configured.engine
+        return engine.mean_answer_tokens / max(engine.steps_per_pass, 1) * pause_ms
+
     def _acquire_slot(self, service: str, ticket: Ticket) -> str | None:
         configured = self.service(service)
         engine = configured.engine if configured is not None else None
@@ -339,11 +376,12 @@
 
     def _begin_waiting(self, service: str) -> float | None:
         """Tell the other hosts that requests wait; returns when to look again."""
-        if self.has_limit(service):
-            self.on_load_change()
-            return POLL_MS
-        is_waited_for = self.upstreams.next_available_ms(service, now_ms()) is not None
-        return POLL_MS if is_waited_for else None
+        self.on_load_change()
+        is_timed = (
+            self.has_limit(service)
+            or self.upstreams.next_available_ms(service, now_ms()) is not None
+        )
+        return POLL_MS if is_timed else None
 
     def _load(
         self, service: str, candidates: Sequence[Candidate], objective_ms: float
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -215,7 +215,7 @@
             self._controller.slowness(),
             self._routing_state.slowed_services(),
             self._controller.post_shift_skews(),
-            self._routing_state.limited_services_with_queue(),
+            self._routing_state.services_with_queue(),
         )
 
     def _share_slowness(self) -> None:
