Space the starts of requests that are late already

Change: late requests of a service whose requests share passes start one after the other, at a rate whose prefill takes a quarter of what the pause objective leaves. Hosts space their own starts by the number of hosts with requests waiting and begin after a random delay of up to 0.3 s. Requests that can be on time pass them by.

--- a/poplarward/direct/admission_queue.py
+++ b/poplarward/direct/admission_queue.py
@@ -198,6 +198,8 @@
     estimate : callable
         Returns how many slots are free, and the rate at which others become free for
         this host, None if it is not known; the releases of its own requests count then.
+    may_start : callable
+        Whether a ticket may take a slot now; others may while it has to wait.
     """
 
     def __init__(
@@ -206,7 +208,9 @@
         return_slot: Callable[[str], None],
         begin_waiting: Callable[[], float | None] = lambda: None,
         estimate: Callable[[], SlotEstimate] = lambda: SlotEstimate(0.0, None),
+        may_start: Callable[[Ticket], bool] = lambda ticket: True,
     ):
+        self._may_start = may_start
         self._estimate = estimate
         self._begin_waiting = begin_waiting
         self._acquire_slot = acquire_slot
@@ -225,7 +229,8 @@
         """Wait for a slot and return it, or a refusal."""
         at_ms = now_ms()
         ticket = Ticket(next(self._numbers), request)
-        if all(w.ticket.request.yields for w in self._queued.values()):
+        is_first = all(w.ticket.request.yields for w in self._queued.values())
+        if is_first and self._may_start(ticket):
             upstream_id = self._acquire_slot(ticket)
             if upstream_id is not None:
                 return Admitted(upstream_id)
@@ -272,7 +277,11 @@
 
     def dispatch(self) -> None:
         """Assign free slots to queued requests."""
-        waiting = [w.ticket for w in self._queued.values() if not w.upstream_id]
+        waiting = [
+            queued.ticket
+            for queued in self._queued.values()
+            if not queued.upstream_id and self._may_start(queued.ticket)
+        ]
         while waiting:
             first = next_ticket(waiting, now_ms())
             waiting.remove(first)
--- a/poplarward/direct/routing_state.py
+++ b/poplarward/direct/routing_state.py
@@ -18,7 +18,8 @@
 )
 from .batch_limit import DEFAULT_POST_SHIFT_SKEW
 from .clock import now_ms
-from .model import Configuration, Service
+from .late_starts import LateStarts, late_starts_per_pass
+from .model import Configuration, EngineProfile, Service
 from .pause_tracker import PauseTracker, can_end_in_time
 from .placement import Candidate, choose_upstream
 from .retry_budgets import RetryBudgets, ServiceRetryBudget
@@ -85,6 +86,7 @@
         self._pause_trackers: dict[str, PauseTracker] = {}
         self._queues: dict[str, AdmissionQueue] = {}
         self._turnovers: dict[str, SlotTurnover] = {}
+        self._late_starts: dict[str, LateStarts] = {}
         self._post_shift_skews: dict[str, float] = {}
         self._dropped_at_ms: dict[str, float] = {}
         self._group_closed_until_ms: dict[str, float] = {}
@@ -286,6 +288,7 @@
                 self._return_slot,
                 lambda: self._begin_waiting(service),
                 lambda: self._slot_estimate(service),
+                lambda ticket: self._may_start(service, ticket),
             )
             self._queues[service] = queue
         return queue
@@ -314,6 +317,40 @@
         engine = configured.engine
         return engine.mean_answer_tokens / max(engine.steps_per_pass, 1) * pause_ms
 
+    def _may_start(self, service: str, ticket: Ticket) -> bool:
+        """Whether a request need not leave the next passes to others."""
+        at_ms = now_ms()
+        if not ticket.request.is_late(at_ms) or not self._runs_in_passes(service):
+            return True
+        return self._late_starts_of(service).may_start(at_ms)
+
+    def _runs_in_passes(self, service: str) -> bool:
+        """Whether each request of a service lengthens the pauses of all others."""
+        configured = self.service(service)
+        return configured is not None and configured.engine is not None
+
+    def _late_starts_of(self, service: str) -> LateStarts:
+        starts = self._late_starts.get(service)
+        if starts is None:
+            starts = self._late_starts[service] = LateStarts(self._rng)
+        return starts
+
+    def _late_start_interval_ms(self, service: str, engine: EngineProfile) -> float:
+        """Return the time between two starts of late requests at this host."""
+        objective_ms = self.pause_objective_ms(service)
+        if objective_ms <= 0:
+            return 0.0
+        pause_ms = self.pause_tracker(service).mean_ms() or objective_ms / 2
+        starts_per_pass = late_starts_per_pass(
+            engine,
+            len(self.upstreams.candidates(service, now_ms())),
+            pause_ms,
+            objective_ms,
+            self._post_shift_skew(service),
+        )
+        n_hosts_waiting = 1 + self.upstream_limits.n_waiting_hosts(service)
+        return n_hosts_waiting * pause_ms / starts_per_pass
+
     def _acquire_slot(self, service: str, ticket: Ticket) -> str | None:
         configured = self.service(service)
         engine = configured.engine if configured is not None else None
@@ -321,7 +358,8 @@
         objective_ms = ticket.request.pause_objective_ms
         load = self._load(service, candidates, objective_ms)
         # The last slots are reserved, at every host, for requests not yet late.
-        fraction = LATE_REQUEST_FRACTION if ticket.request.is_late(now_ms()) else 1.0
+        is_late = ticket.request.is_late(now_ms())
+        fraction = LATE_REQUEST_FRACTION if is_late else 1.0
         if load.n_running >= fraction * load.most_running:
             return None
         chosen = choose_upstream(
@@ -335,6 +373,9 @@
         upstream = self.upstreams.get(chosen.id)
         self.upstreams.begin(upstream)
         self.upstream_limits.record_send(upstream.limited, now_ms())
+        if is_late and engine is not None:
+            interval_ms = self._late_start_interval_ms(service, engine)
+            self._late_starts_of(service).record_start(now_ms(), interval_ms)
         self.on_load_change()
         return chosen.id
 
@@ -379,6 +420,7 @@
         self.on_load_change()
         is_timed = (
             self.has_limit(service)
+            or self._runs_in_passes(service)
             or self.upstreams.next_available_ms(service, now_ms()) is not None
         )
         return POLL_MS if is_timed else None
@@ -392,9 +434,12 @@
             candidates,
             self.pause_tracker(service),
             objective_ms,
-            self._post_shift_skews.get(service, DEFAULT_POST_SHIFT_SKEW),
+            self._post_shift_skew(service),
         )
 
+    def _post_shift_skew(self, service: str) -> float:
+        return self._post_shift_skews.get(service, DEFAULT_POST_SHIFT_SKEW)
+
     def _return_slot(self, upstream_id: str) -> None:
         upstream = self.upstreams.get(upstream_id)
         if upstream is not None:
