Change the maps of calm groups only for large gains

Hypothesis: while a group is far below what its streams can bear, a map that is even again some passes sooner makes no stream on time that would have been late.

Change: a group is strained if its pauses pass 0.6 of their objective or its requests 0.6 of its slots; it gets every gain, as before. A calm one gets a new map only if that lowers the skew by 0.8, about what a shift of demand raises it by.

--- a/benchmarks/platform_slopes.py
+++ b/benchmarks/platform_slopes.py
@@ -31,6 +31,7 @@
     MAX_DATAGRAM_BYTES,
     MIN_INTERVAL_MS_PER_PEER,
 )
+from poplarward.direct.map_need import min_skew_gain
 from poplarward.direct.map_planner import GroupPlanner
 from poplarward.direct.model import EngineProfile
 from poplarward.direct.pause_tracker import PauseTracker
@@ -224,7 +225,7 @@
         for _ in range(n_layers * n_experts)
     ]
     planner.observe(tokens, 10, 100)
-    plan = planner.plan(layers, [1.0] * n_ranks, 0.06)
+    plan = planner.plan(layers, [1.0] * n_ranks, 0.06, min_skew_gain(True))
     name = f"{n_ranks}x{n_layers}x{n_experts}"
     return {
         f"plan_ms_{name}": (time.process_time() - started_s) * 1000,
--- a/poplarward/direct/map_controller.py
+++ b/poplarward/direct/map_controller.py
@@ -16,8 +16,10 @@
 
 from ..coordination.rebalancing.placement import Layer
 from ..telemetry.logs import get_logger
+from .clock import now_ms
 from .host_heartbeats import HeartbeatExchange
 from .map_changes import GroupView, MapChangeCoordinator, group_view
+from .map_need import is_strained, min_skew_gain
 from .map_planner import GroupPlanner
 from .model import EngineProfile
 from .rank_group import RankControl, RankReport
@@ -40,8 +42,6 @@
 # While demand is unsteady, pauses are near their objective, or a group is incomplete:
 # the first new map matters most.
 SHORT_CYCLE_S = 0.35
-# Of the pause objective; above it, a shift of demand may make all streams late.
-STRAINED_FRACTION = 0.6
 N_SAMPLED_RANKS = 3  # Enough requests to estimate the load of the hottest experts.
 N_ALERT_RANKS = 6  # One or two passes have fewer requests, so more ranks are read.
 # Without a leader, a group may stay held or on its first map.
@@ -191,10 +191,15 @@
                 return []
 
     def _is_strained(self, service: str) -> bool:
-        """Whether the pauses of a service's streams are close to their objective."""
-        pause_ms = self._routing_state.pause_tracker(service).peak_ms()
-        objective_ms = self._routing_state.pause_objective_ms(service)
-        return pause_ms is not None and pause_ms > STRAINED_FRACTION * objective_ms > 0
+        """Whether a service's streams are close to what its group can bear."""
+        routing_state = self._routing_state
+        ranks = routing_state.upstreams.candidates(service, now_ms())
+        return is_strained(
+            routing_state.pause_tracker(service).peak_ms(),
+            routing_state.pause_objective_ms(service),
+            sum(rank.n_in_flight for rank in ranks),
+            sum(rank.n_slots for rank in ranks),
+        )
 
     def _slowed_services(self) -> list[str]:
         n_needed = min(MIN_HOSTS_SLOWED, 1 + len(self._exchange.live_heartbeats()))
@@ -322,7 +327,8 @@
         if not (is_new or not is_planned) or not self._may_switch_map():
             return
         slowness = [report.slowness for report in view.ranks]
-        plan = group.planner.plan(group.layers, slowness, group.pass_s)
+        min_gain = min_skew_gain(is_slowed or self._is_strained(group.service))
+        plan = group.planner.plan(group.layers, slowness, group.pass_s, min_gain)
         group.planned_epoch = view.epoch
         facts = {
             "group": view.name,
@@ -330,6 +336,7 @@
             "slowed": is_slowed,
             "n_shifts": group.planner.n_shifts,
             "pass_ms": round(group.pass_s * 1000, 1),
+            "min_gain": min_gain,
         }
         if plan is None:
             log.info("maps.map_kept", **facts, steady=group.is_steady)
--- a/poplarward/direct/map_planner.py
+++ b/poplarward/direct/map_planner.py
@@ -26,7 +26,6 @@
 MB = 1_000_000
 COPY_SLOWDOWN_SHARE = 0.15  # By the platform, for passes while experts are copied.
 WEIGHTS = PlannerWeights(skew_weight=1.0, rebalance_cost_weight=0.5)
-MIN_SKEW_GAIN = 0.07  # Less saves 1 or 2 ms a pass, and a change has a cost.
 MIN_TOKENS = 1_000.0  # Fewer than a prompt has; too few to show popularity.
 
 
@@ -105,7 +104,11 @@
         return self._skew([self._pad(layer) for layer in layers])
 
     def plan(
-        self, layers: Sequence[Layer], slowness: Sequence[float], pass_s: float
+        self,
+        layers: Sequence[Layer],
+        slowness: Sequence[float],
+        pass_s: float,
+        min_skew_gain: float,
     ) -> MapPlan | None:
         """Return a better map, or None if no change is worth its cost."""
         if not self._has_counts:
@@ -125,7 +128,7 @@
             return None
         after = apply_moves(padded, plan.moves)
         skew_before, skew_after = self._skew(padded), self._skew(after)
-        if skew_before - skew_after < MIN_SKEW_GAIN:
+        if skew_before - skew_after < min_skew_gain:
             return None
         max_copies = _max_copies(padded, after)
         return MapPlan(
