Read the counts of calm and steady groups each 2 s

Hypothesis: reads each second serve only groups whose streams may become late before the next look. A calm group that becomes strained is looked at within 0.35 s, and one whose streams slow down all at once immediately, as before.

Change: the cycle of calm and steady groups is 2 s instead of 1 s.

--- a/poplarward/direct/map_controller.py
+++ b/poplarward/direct/map_controller.py
@@ -38,7 +38,7 @@
 ALERT_POLL_S = 0.05
 MAX_ALERT_SAMPLES = 4
 # Demand may shift every few seconds, but each sample of it has a cost.
-LONG_CYCLE_S = 1.0
+LONG_CYCLE_S = 2.0
 # While demand is unsteady, pauses are near their objective, or a group is incomplete:
 # the first new map matters most.
 SHORT_CYCLE_S = 0.35
