Take a silent leader for gone after 0.4 s instead of 0.6 s

Hypothesis: a leader that freezes between hold and release of a map change leaves the whole group standing until another host leads: 0.6 s without a heartbeat and up to 0.2 s until the next look, then the reports' delay.

Change: the leader sends a heartbeat each 0.1 s instead of 0.25 s, so that three in a row may be lost, and hosts look each 0.1 s whether they lead. Where many hosts allow only longer intervals, the time grows with them: at 300 hosts it is 2.6 s; the constant 0.6 s was less than the interval there, so that hosts would have taken the lead from each other.

A second host that completes a held change itself would shorten the rest; left.

--- a/poplarward/direct/host_heartbeats.py
+++ b/poplarward/direct/host_heartbeats.py
@@ -26,7 +26,10 @@
 HEARTBEAT_INTERVAL_MS = 250.0  # A peer times out after four lost in a row.
 PEER_TIMEOUT_MS = 1_000.0  # Less than a caller's timeout for a new connection.
 RECENT_MS = 400.0  # Just over an interval.
-LEADER_TIMEOUT_MS = 600.0  # Two heartbeats; a map change may hold a whole group.
+# A group may be held for a change of its map while its leader is silent.
+LEADER_INTERVAL_MS = 100.0
+LEADER_TIMEOUT_MS = 400.0
+LEADER_TIMEOUT_INTERVALS = 3.5  # Where many hosts allow only longer intervals.
 ELECTION_DELAY_MS = 400.0  # Hosts that start together know of each other by then.
 SLOWDOWN_WINDOW_MS = 300.0  # Just over an interval; older slowdowns may be over.
 PEER_EXPIRY_MS = 60_000.0  # A host that is cut off for longer registers again.
@@ -188,7 +191,7 @@
         if is_new or not self._is_serving():
             self._has_lead = False
             return False
-        heartbeats = self.live_heartbeats(LEADER_TIMEOUT_MS)
+        heartbeats = self.live_heartbeats(self._leader_timeout_ms())
         serving = [heartbeat for heartbeat in heartbeats if heartbeat.is_serving]
         leaders = [heartbeat for heartbeat in serving if heartbeat.is_leader]
         if leaders and not self._has_lead:
@@ -251,15 +254,20 @@
             self._expire_peers()
             min_interval_ms = self._min_interval_ms()
             await trio.sleep(min_interval_ms / 1000)
-            with trio.move_on_after(
-                (HEARTBEAT_INTERVAL_MS - min(min_interval_ms, HEARTBEAT_INTERVAL_MS))
-                / 1000
-            ):
+            rest_ms = max(0.0, self._max_interval_ms() - min_interval_ms)
+            with trio.move_on_after(rest_ms / 1000):
                 await self._load_changed.wait()
 
     def _min_interval_ms(self) -> float:
         return max(10.0, MIN_INTERVAL_MS_PER_PEER * len(self._endpoints))
 
+    def _max_interval_ms(self) -> float:
+        return LEADER_INTERVAL_MS if self._has_lead else HEARTBEAT_INTERVAL_MS
+
+    def _leader_timeout_ms(self) -> float:
+        interval_ms = max(LEADER_INTERVAL_MS, self._min_interval_ms())
+        return max(LEADER_TIMEOUT_MS, LEADER_TIMEOUT_INTERVALS * interval_ms)
+
     async def _receive(self) -> None:
         while True:
             data, endpoint = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
--- a/poplarward/direct/map_controller.py
+++ b/poplarward/direct/map_controller.py
@@ -45,7 +45,7 @@
 N_SAMPLED_RANKS = 3  # Enough requests to estimate the load of the hottest experts.
 N_ALERT_RANKS = 6  # One or two passes have fewer requests, so more ranks are read.
 # Without a leader, a group may stay held or on its first map.
-LEADERSHIP_POLL_S = 0.2
+LEADERSHIP_POLL_S = 0.1
 LEADERSHIP_SETTLE_S = 0.3  # By then every live host has sent a heartbeat.
 # By then a former leader that is only slow has finished its map change.
 FORMER_LEADER_WAIT_MS = 1_000.0
--- a/tests/direct/test_decisions.py
+++ b/tests/direct/test_decisions.py
@@ -498,3 +498,36 @@
     assert hosts.leaders() == ["a", "b"]  # Partitioned from each other.
     hosts.exchange_heartbeats()
     assert hosts.leaders() == ["a"]
+
+
+def test_leader_that_freezes_is_replaced_within_half_a_second(monkeypatch):
+    """It may have held a pass of a group, which stands until another host resolves it.
+
+    Three of its heartbeats in a row may be lost.
+    """
+    clock_ms = [10_000.0]
+    monkeypatch.setattr(host_heartbeats, "now_ms", lambda: clock_ms[0])
+    monkeypatch.setattr(
+        host_heartbeats, "elapsed_ms", lambda since_ms: clock_ms[0] - since_ms
+    )
+    hosts = Hosts("a", "b", "c")
+    hosts.exchange_heartbeats()
+    assert hosts.leaders() == ["a"]
+    hosts.exchange_heartbeats()
+    assert hosts.exchanges["a"]._max_interval_ms() == 100.0
+    assert hosts.exchanges["b"]._max_interval_ms() == 250.0
+    hosts.serving.discard("a")
+    clock_ms[0] += 390.0
+    hosts.exchange_heartbeats()
+    assert hosts.leaders() == []
+    clock_ms[0] += 20.0
+    hosts.exchange_heartbeats()
+    assert hosts.leaders() == ["b"]
+
+
+def test_leader_is_not_replaced_between_two_heartbeats_of_many_hosts():
+    """300 hosts send a heartbeat each 0.75 s."""
+    exchange = Hosts("a").exchanges["a"]
+    exchange.add_endpoints((f"10.0.{n // 250}.{n % 250}", 1) for n in range(299))
+    assert exchange._leader_timeout_ms() >= 3 * 750
+    assert Hosts("b").exchanges["b"]._leader_timeout_ms() == 400.0
