Choose an upstream in about half the time

Cause of the time: every upstream of every service was looked at, four calls told whether each is available, and costs and capacities were worked out twice by calls.

Change: upstreams are kept by service, one expression tells whether one is available, each cost is worked out once. Same choices: the tests are unchanged.

Measured (processor time of a choice, 2,000 times, on a machine whose cores were all busy): 12 upstreams 113 to 73 microseconds, 72 upstreams 513 to 285, 144 upstreams 975 to 534.

--- a/poplarward/direct/placement.py
+++ b/poplarward/direct/placement.py
@@ -49,12 +49,14 @@
 
 
 def _cost(candidate: Candidate) -> float:
-    fill = (candidate.base_load + candidate.n_in_flight + 1) / max(candidate.n_slots, 1)
-    return fill * candidate.slowness + FAILURE_WEIGHT * candidate.failure_share
+    _, n_in_flight, n_slots, slowness, failure_share, base_load = candidate
+    fill = (base_load + n_in_flight + 1) / (n_slots or 1)
+    return fill * slowness + FAILURE_WEIGHT * failure_share
 
 
 def _capacity(candidate: Candidate, max_fill: float) -> float:
-    return max(1.0, max_fill * candidate.n_slots / max(candidate.slowness, 1.0))
+    """Return how many requests it may have; if it has none, it may have one."""
+    return max_fill * candidate.n_slots / max(candidate.slowness, 1.0)
 
 
 def choose_upstream(
@@ -84,9 +86,14 @@
     >>> choose_upstream([busy], (), random.Random(1), max_fill=1.0) is None
     True
     """
-    available = [c for c in candidates if c.n_in_flight < _capacity(c, max_fill)]
-    preferred = [c for c in available if c.id not in tried] or available
-    if not preferred:
+    available = [
+        (_cost(c), c)
+        for c in candidates
+        if c.n_in_flight < 1 or c.n_in_flight < _capacity(c, max_fill)
+    ]
+    if tried:
+        available = [pair for pair in available if pair[1].id not in tried] or available
+    if not available:
         return None
-    least = min(map(_cost, preferred))
-    return rng.choice([c for c in preferred if _cost(c) <= least + TIE_MARGIN])
+    limit = min([cost for cost, _ in available]) + TIE_MARGIN
+    return rng.choice([candidate for cost, candidate in available if cost <= limit])
--- a/poplarward/direct/service_load.py
+++ b/poplarward/direct/service_load.py
@@ -39,12 +39,12 @@
     post_shift_skew: float,
 ) -> ServiceLoad:
     """Return a service's load, and its limit for streams with a pause objective."""
-    n_running = sum(rank.n_in_flight for rank in ranks)
+    n_running = sum([rank.n_in_flight for rank in ranks])
     pause_ms = pause_tracker.peak_ms()
     if engine is None or objective_ms <= 0:
         return ServiceLoad(n_running, float("inf"), pause_ms)
-    n_slots = sum(rank.n_slots for rank in ranks)
-    slowest = max((rank.slowness for rank in ranks), default=1.0)
+    n_slots = sum([rank.n_slots for rank in ranks])
+    slowest = max([rank.slowness for rank in ranks], default=1.0)
     fixed_ms = engine.step_ms * engine.steps_per_pass * slowest
     most_running = min(
         max_running(n_running, n_slots, pause_ms, fixed_ms, objective_ms),
--- a/poplarward/direct/upstreams.py
+++ b/poplarward/direct/upstreams.py
@@ -64,7 +64,15 @@
 
     def is_available(self, now_ms: float) -> bool:
         """Whether a request may be sent to the upstream now."""
-        return self.accepts_requests(now_ms) and now_ms >= self.available_at_ms
+        # This runs for each upstream at each decision.
+        wanted = self.wanted
+        return (
+            not wanted.is_leaving
+            and wanted.paused_until_ms <= now_ms
+            and self.health.down_until_ms <= now_ms
+            and not self.entry.is_draining
+            and (self.remove_at_ms is None or now_ms < self.remove_at_ms)
+        )
 
     @property
     def available_at_ms(self) -> float:
@@ -105,6 +113,7 @@
 
     def __init__(self, on_change: Callable[[], None] = lambda: None):
         self._by_id: dict[str, Upstream] = {}
+        self._by_service: dict[str, dict[str, Upstream]] = {}
         self._notices = UpstreamNotices()
         self._peer_loads: dict[str, float] = {}
         self._on_change = on_change
@@ -123,7 +132,7 @@
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return a service's upstreams, including draining ones."""
-        return [u for u in self._by_id.values() if u.entry.service == service]
+        return list(self._by_service.get(service, {}).values())
 
     def replace_all(
         self, entries: Iterable[UpstreamEntry], missing_until_ms: float | None
@@ -153,8 +162,9 @@
             current.remove_at_ms = None
         else:
             if current is not None:
-                self._removed.append(current)
+                self._removed.append(self._pop(entry.id))
             upstream = self._by_id[entry.id] = Upstream(entry, self._notices)
+            self._by_service.setdefault(entry.service, {})[entry.id] = upstream
             # The other hosts may have heard of it sooner.
             upstream.n_peer_in_flight = self._peer_loads.get(entry.id, 0.0)
         log.info(
@@ -181,9 +191,14 @@
                 at_ms if current.remove_at_ms is None else current.remove_at_ms
             )
             return
-        self._removed.append(self._by_id.pop(upstream_id))
+        self._removed.append(self._pop(upstream_id))
         self._on_change()
 
+    def _pop(self, upstream_id: str) -> Upstream:
+        upstream = self._by_id.pop(upstream_id)
+        del self._by_service[upstream.entry.service][upstream_id]
+        return upstream
+
     def update_slowness(self, slowness: dict[str, float]) -> None:
         """Replace the slowness that upstreams report; unlisted ones count as normal."""
         for upstream_id, upstream in self._by_id.items():
@@ -193,14 +208,17 @@
         self, service: str, now_ms: float, base_load: float = 0.0
     ) -> list[Candidate]:
         """Return the upstreams of a service that accept requests now."""
-        available = [u for u in self.of_service(service) if u.is_available(now_ms)]
+        upstreams = self._by_service.get(service, {}).values()
+        available = [u for u in upstreams if u.is_available(now_ms)]
         median_ms = _median_latency_ms(available)
         return [
             Candidate(
                 u.entry.id,
                 u.n_own_in_flight + u.n_peer_in_flight,
                 u.entry.n_slots,
-                max(u.reported_slowness, _slowness(u, median_ms)),
+                u.reported_slowness
+                if median_ms is None
+                else max(u.reported_slowness, _slowness(u, median_ms)),
                 u.failure_share,
                 base_load,
             )
@@ -278,7 +296,7 @@
     return latencies_ms[(len(latencies_ms) - 1) // 2]
 
 
-def _slowness(upstream: Upstream, median_ms: float | None) -> float:
-    if median_ms is None or upstream.latency_ms is None or median_ms <= 0:
+def _slowness(upstream: Upstream, median_ms: float) -> float:
+    if upstream.latency_ms is None or median_ms <= 0:
         return 1.0
     return min(MAX_SLOWNESS, max(1.0, upstream.latency_ms / median_ms))
