--- a/poplarward/direct/job.py
+++ b/poplarward/direct/job.py
@@ -34,6 +34,7 @@
     a returning caller has less time left than its route allows. ``sent_at_ms``
     is when the last attempt was sent, ``reading`` the part of its response that is
     being read, and ``framing`` that of the response, once its head was read.
+    ``waited_ms`` is how long the request has waited for slots, for all attempts.
     ``is_logged`` tells whether the request's end was, and ``is_trial`` whether the
     request was sent although it is quarantined.
     """
@@ -55,6 +56,7 @@
     first_sent_ms: float | None = None
     last_sent_at_ms: float = 0.0
     longest_pause_ms: float = 0.0
+    waited_ms: float = 0.0
     sent_at_ms: float = 0.0
     reading: ResponsePart = ResponsePart.HEAD
     framing: BodyFraming | None = None
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -212,20 +212,22 @@
         max_wait_ms = min(wait_ms, TIME_LEFT_WAIT_FRACTION * job.left_ms())
         # A stream that has begun is useless unless it is resumed.
         pause_objective_ms = 0.0 if job.stream else job.route.pause_objective_ms
-        return await routing_state.admit(
-            job.service,
-            AdmissionRequest(
-                job.priority,
-                latest_start_ms,
-                max_wait_ms,
-                pause_objective_ms,
-                job.tried,
-                # First attempts need the limits; a stream that has begun needs its end.
-                bool(job.tried)
-                and job.stream is None
-                and routing_state.has_limit(job.service),
-            ),
+        request = AdmissionRequest(
+            job.priority,
+            latest_start_ms,
+            max_wait_ms,
+            pause_objective_ms,
+            job.tried,
+            # First attempts need the limits; a stream that has begun needs its end.
+            bool(job.tried)
+            and job.stream is None
+            and routing_state.has_limit(job.service),
         )
+        began_at_ms = now_ms()
+        try:
+            return await routing_state.admit(job.service, request)
+        finally:
+            job.waited_ms += elapsed_ms(began_at_ms)
 
     async def _attempt_at(
         self, job: Job, slot: Admitted
--- a/poplarward/direct/request_log.py
+++ b/poplarward/direct/request_log.py
@@ -102,6 +102,7 @@
             n_events=job.stream.n_events if job.stream else None,
             framing=None if job.framing is None else job.framing.value,
             without_chunks=None if job.exchange.can_have_chunks else True,
+            waited_ms=int(job.waited_ms) or None,
             longest_pause_ms=int(job.longest_pause_ms) or None,
             first_ms=None if job.first_sent_ms is None else int(job.first_sent_ms),
             total_ms=int(total_ms),
--- a/tests/direct/test_request_log.py
+++ b/tests/direct/test_request_log.py
@@ -226,6 +226,24 @@
     assert [line["framing"] for line in found] == ["connection", None]
 
 
+async def test_line_tells_how_long_a_request_has_waited_for_a_slot():
+    async with open_relay(ScriptedUpstream()) as harness:
+        upstreams = harness.routing_state.upstreams
+        upstreams.update_peer_loads({"u0": 8})
+        with capture_logs() as lines:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(harness.call, "/read/1")
+                while not harness.routing_state.services_with_queue():
+                    await trio.sleep(0.005)
+                await trio.sleep(0.05)
+                upstreams.update_peer_loads({"u0": 0})
+            await harness.call("/read/2")
+            await wait_until_served(harness)
+    first, second = ends(lines)
+    assert first["waited_ms"] >= 50
+    assert second["waited_ms"] is None
+
+
 async def test_whole_stream_leaves_no_line_of_a_disconnect():
     upstream = ScriptedUpstream(whole_stream(Framing.NONE))
     async with open_relay(upstream) as harness:
