Name what upstreams ask for by one word, and let late callers come back as before

- The classes of notices have names that say what they are: NoticeTable holds UpstreamNotices, and an upstream has its notices.
Tests follow the names.
- Retry-After follows the releases of the host's own requests again.

--- a/poplarward/direct/admission_queue.py
+++ b/poplarward/direct/admission_queue.py
@@ -240,9 +240,11 @@
             for w in self._queued.values()
             if request.yields or not w.ticket.request.yields
         )
-        n_ahead -= self._estimate().n_free
-        freed_per_s = self._freed_per_s(at_ms)
-        if n_ahead > 0 and expected_wait_ms(n_ahead, freed_per_s) > request.max_wait_ms:
+        n_free, freed_per_s = self._estimate()
+        if freed_per_s is None:
+            freed_per_s = self._release_rate.per_s(at_ms)
+        wait_ms = expected_wait_ms(n_ahead - n_free, freed_per_s)
+        if n_ahead > n_free and wait_ms > request.max_wait_ms:
             return self._refuse("too many wait for a place")
         queued = self._queued[ticket.number] = _QueuedRequest(ticket)
         try:
@@ -267,10 +269,6 @@
             self.dispatch()
         await queued.admitted.wait()
 
-    def _freed_per_s(self, at_ms: float) -> float:
-        freed_per_s = self._estimate().freed_per_s
-        return self._release_rate.per_s(at_ms) if freed_per_s is None else freed_per_s
-
     def record_release(self) -> None:
         """Record that a request of this host has released its slot."""
         self._release_rate.record(now_ms())
@@ -305,6 +303,8 @@
         return Refused(reason, max(min_delay_ms, delay_ms))
 
     def _refuse(self, reason: str) -> Refused:
+        # Callers who return get only what others leave, so that the releases of this
+        # host's own requests count, which are fewer than the slots that it may get.
         at_ms = now_ms()
-        freed_per_s = self._freed_per_s(at_ms)
+        freed_per_s = self._release_rate.per_s(at_ms)
         return Refused(reason, self._retry_after.next_delay_ms(at_ms, freed_per_s))
--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -228,7 +228,7 @@
             if not metadata.is_misdirected:
                 # When the request of a late response was sent is not known.
                 sent_at_ms = job.sent_at_ms if is_own else float("-inf")
-                upstream.wanted.record(metadata.notice, sent_at_ms, now_ms())
+                upstream.notices.record(metadata.notice, sent_at_ms, now_ms())
             if is_own:
                 if not metadata.is_misdirected:
                     self._routing_state.upstream_limits.record_response(
--- a/poplarward/direct/late_starts.py
+++ b/poplarward/direct/late_starts.py
@@ -21,7 +21,7 @@
 
 # Of the time by which passes may be longer; the rest is for requests not yet late.
 LATE_PREFILL_FRACTION = 0.25
-MAX_FIRST_DELAY_MS = 300.0  # Several passes, and heartbeats of hosts with changed load.
+MAX_FIRST_DELAY_MS = 500.0  # Many passes, and heartbeats of hosts with changed load.
 MIN_STARTS_PER_PASS = 1.0
 
 
@@ -65,10 +65,10 @@
     Examples
     --------
     >>> starts = LateStarts(random.Random(1))
-    >>> starts.may_start(0.0), starts.may_start(300.0)
+    >>> starts.may_start(0.0), starts.may_start(500.0)
     (False, True)
-    >>> starts.record_start(300.0, interval_ms=100.0)
-    >>> starts.may_start(349.0), starts.may_start(450.0)
+    >>> starts.record_start(500.0, interval_ms=100.0)
+    >>> starts.may_start(549.0), starts.may_start(650.0)
     (False, True)
     """
 
--- a/poplarward/direct/map_need.py
+++ b/poplarward/direct/map_need.py
@@ -4,8 +4,8 @@
 what its pause objective allows. A map that is even again some passes sooner makes no
 stream on time that would have been late, but its copies lengthen the passes, and each
 change of map stands the group still if its coordinator fails in the middle. So a calm
-group is only kept from a map that would leave it no capacity; one whose slots or pauses
-come near their limits gets every gain.
+group gets a new map only for a large gain; one whose slots or pauses come near their
+limits gets every gain.
 """
 
 from __future__ import annotations
--- a/poplarward/direct/upstream_notices.py
+++ b/poplarward/direct/upstream_notices.py
@@ -16,7 +16,7 @@
 
 from ..telemetry.logs import get_logger
 
-__all__ = ["Notice", "UpstreamNotices", "UpstreamRequests"]
+__all__ = ["Notice", "NoticeTable", "UpstreamNotices"]
 
 # A longer pause has to be asked for again: the upstream may recover meanwhile.
 MAX_PAUSE_MS = 60_000.0
@@ -41,8 +41,8 @@
     pause_ms: float | None = None
 
 
-class UpstreamRequests:
-    """Which requests one start of an upstream still wants from this host.
+class UpstreamNotices:
+    """What one start of an upstream has asked of this host.
 
     Attributes
     ----------
@@ -55,10 +55,10 @@
 
     Examples
     --------
-    >>> wanted = UpstreamRequests("u-1")
-    >>> wanted.record(Notice(pause_ms=2_000.0), sent_at_ms=0.0, at_ms=100.0)
-    >>> wanted.is_paused(at_ms=2_099.0), wanted.is_paused(at_ms=2_100.0)
-    (True, False)
+    >>> notices = UpstreamNotices("u-1")
+    >>> notices.record(Notice(pause_ms=0.0), sent_at_ms=0.0, at_ms=100.0)
+    >>> notices.is_leaving, notices.is_paused(at_ms=100.0)
+    (False, False)
     """
 
     def __init__(self, upstream_id: str):
@@ -109,18 +109,18 @@
         return True
 
 
-class UpstreamNotices:
-    """What each start of an upstream asks for."""
+class NoticeTable:
+    """The notices of all upstreams, by their starts."""
 
     def __init__(self) -> None:
-        self._by_start: dict[int, UpstreamRequests] = {}
+        self._by_start: dict[int, UpstreamNotices] = {}
 
-    def of(self, start: int, upstream_id: str) -> UpstreamRequests:
-        """Return what a start of an upstream has asked for so far."""
-        return self._by_start.setdefault(start, UpstreamRequests(upstream_id))
+    def of(self, start: int, upstream_id: str) -> UpstreamNotices:
+        """Return the notices of a start of an upstream, none at first."""
+        return self._by_start.setdefault(start, UpstreamNotices(upstream_id))
 
     def discard_old(self, registered: set[int], at_ms: float) -> None:
         """Forget upstreams that ended a while ago, or never asked for anything."""
-        for start, wanted in list(self._by_start.items()):
-            if start not in registered and at_ms - wanted.recorded_at_ms > EXPIRY_MS:
+        for start, notices in list(self._by_start.items()):
+            if start not in registered and at_ms - notices.recorded_at_ms > EXPIRY_MS:
                 del self._by_start[start]
--- a/poplarward/direct/upstreams.py
+++ b/poplarward/direct/upstreams.py
@@ -11,7 +11,7 @@
 from .model import UpstreamEntry
 from .placement import Candidate
 from .upstream_limits import LimitedUpstream
-from .upstream_notices import UpstreamNotices
+from .upstream_notices import NoticeTable
 
 __all__ = ["Upstream", "UpstreamTable"]
 
@@ -37,11 +37,11 @@
         Its time over that of other upstreams, as reported by itself.
     limited : LimitedUpstream
         Identifies it where its limit is kept.
-    wanted : UpstreamRequests
-        Which requests it still wants from this host, as it has stated itself.
+    notices : UpstreamNotices
+        What it has asked for in its responses.
     """
 
-    def __init__(self, entry: UpstreamEntry, notices: UpstreamNotices):
+    def __init__(self, entry: UpstreamEntry, notice_table: NoticeTable):
         self.entry = entry
         self.n_own_in_flight = 0
         self.n_peer_in_flight = 0.0
@@ -54,21 +54,21 @@
         # A start ends with at most one crash, so one number identifies both.
         start = crash_id(entry.id, entry.started_at_ms)
         self.limited = LimitedUpstream(entry.id, entry.service, start)
-        self.wanted = notices.of(start, entry.id)
+        self.notices = notice_table.of(start, entry.id)
 
     def accepts_requests(self, now_ms: float) -> bool:
         """Whether the upstream is neither draining nor gone."""
         if self.remove_at_ms is not None and now_ms >= self.remove_at_ms:
             return False
-        return not (self.entry.is_draining or self.wanted.is_leaving)
+        return not (self.entry.is_draining or self.notices.is_leaving)
 
     def is_available(self, now_ms: float) -> bool:
         """Whether a request may be sent to the upstream now."""
         # This runs for each upstream at each decision.
-        wanted = self.wanted
+        notices = self.notices
         return (
-            not wanted.is_leaving
-            and wanted.paused_until_ms <= now_ms
+            not notices.is_leaving
+            and notices.paused_until_ms <= now_ms
             and self.health.down_until_ms <= now_ms
             and not self.entry.is_draining
             and (self.remove_at_ms is None or now_ms < self.remove_at_ms)
@@ -77,7 +77,7 @@
     @property
     def available_at_ms(self) -> float:
         """When it may be tried again, if it does not leave."""
-        return max(self.health.down_until_ms, self.wanted.paused_until_ms)
+        return max(self.health.down_until_ms, self.notices.paused_until_ms)
 
     def record_success(self, latency_ms: float | None) -> None:
         """Record a response that was no failure."""
@@ -114,7 +114,7 @@
     def __init__(self, on_change: Callable[[], None] = lambda: None):
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, dict[str, Upstream]] = {}
-        self._notices = UpstreamNotices()
+        self._notice_table = NoticeTable()
         self._peer_loads: dict[str, float] = {}
         self._on_change = on_change
         self._removed: list[Upstream] = []
@@ -163,7 +163,7 @@
         else:
             if current is not None:
                 self._removed.append(self._pop(entry.id))
-            upstream = self._by_id[entry.id] = Upstream(entry, self._notices)
+            upstream = self._by_id[entry.id] = Upstream(entry, self._notice_table)
             self._by_service.setdefault(entry.service, {})[entry.id] = upstream
             # The other hosts may have heard of it sooner.
             upstream.n_peer_in_flight = self._peer_loads.get(entry.id, 0.0)
@@ -242,7 +242,7 @@
         return [
             upstream
             for upstream in self._by_id.values()
-            if not upstream.entry.is_draining and upstream.wanted.take_check(now_ms)
+            if not upstream.entry.is_draining and upstream.notices.take_check(now_ms)
         ]
 
     def begin(self, upstream: Upstream) -> None:
@@ -279,7 +279,7 @@
     def discard_notices(self, now_ms: float) -> None:
         """Forget what upstreams that ended a while ago have asked for."""
         registered = {upstream.limited.start for upstream in self._by_id.values()}
-        self._notices.discard_old(registered, now_ms)
+        self._notice_table.discard_old(registered, now_ms)
 
 
 def _is_same_instance(current: UpstreamEntry, entry: UpstreamEntry) -> bool:
--- a/poplarward/platform/upstream_calls.py
+++ b/poplarward/platform/upstream_calls.py
@@ -65,5 +65,5 @@
                 await connection.close()
         metadata = self._headers.read_response(head)
         if not metadata.is_misdirected:
-            upstream.wanted.record(metadata.notice, sent_at_ms, now_ms())
+            upstream.notices.record(metadata.notice, sent_at_ms, now_ms())
         return head.status, content
