Refuse at once where limits keep slots free

Where upstreams name limits, slots are free because they may not be used, so that every request went into the queue and was refused after its time there; on a busy machine some took longer than the bound. Ruled out: the limits themselves, which were kept (0.57 to 0.68 times what is allowed).

The test fails without it (no request is refused at once) and passes with it.

--- a/poplarward/direct/routing_state.py
+++ b/poplarward/direct/routing_state.py
@@ -298,6 +298,8 @@
 
     def _slot_estimate(self, service: str) -> SlotEstimate:
         """Return how many of a service's slots are free, and how soon others are."""
+        if self.has_limit(service):
+            return SlotEstimate(0.0, None)  # Free slots may not be used.
         candidates = self.upstreams.candidates(service, now_ms())
         load = self._load(service, candidates, self.pause_objective_ms(service))
         n_slots = sum(candidate.n_slots for candidate in candidates)
--- a/tests/direct/test_slot_turnover.py
+++ b/tests/direct/test_slot_turnover.py
@@ -10,7 +10,10 @@
     Refused,
     SlotEstimate,
 )
+from poplarward.direct.clock import now_ms
+from poplarward.direct.model import UpstreamEntry
 from poplarward.direct.slot_turnover import SlotTurnover
+from tests.direct.relay_harness import RelayHarness
 
 FAR = 1e12
 
@@ -79,6 +82,27 @@
     assert [type(result) for result in results].count(Refused) == 3
 
 
+async def test_callers_are_refused_at_once_where_a_limit_keeps_slots_free():
+    """The upstream takes 8 requests a second, and has just had one."""
+    harness = RelayHarness([])
+    state = harness.routing_state
+    state.upstreams.put(UpstreamEntry("u0", "app", "127.0.0.1:1", "a", 6, False, 1))
+    limited = state.upstreams.get("u0").limited
+    state.upstream_limits.record_response(limited, 8.0, now_ms(), now_ms())
+    results = []
+
+    async def call():
+        request = AdmissionRequest(1, FAR, 5_000.0)
+        results.append(await state.admit("app", request))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(call)
+        await trio.testing.wait_all_tasks_blocked()
+        assert [type(result) for result in results] == [Refused] * 3
+        nursery.cancel_scope.cancel()
+
+
 async def test_callers_are_refused_where_many_hosts_wait_for_the_same_slots():
     results = await queue_of(35.0 / 21, n_callers=4, max_wait_ms=180.0)
     assert [type(result) for result in results].count(Refused) == 3
