--- a/review/harness.py
+++ b/review/harness.py
@@ -128,6 +128,11 @@
         """IP number and port."""
         return f"{self.ip}:{self.port}"
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+        return self._server is not None
+
     async def listen(self) -> None:
         """Listen, on the port that it had before."""
         self._server = await asyncio.start_server(self._serve, self.ip, self.port)
