--- a/review/harness.py
+++ b/review/harness.py
@@ -697,6 +697,8 @@
     record = Record(place / "record.txt")
     record.write(f"disruption: {'yes' if HAS_TROUBLE else 'no'}")
     status = 2
+    # The processes of the case are ended even if the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         status = asyncio.run(_run(case, record, folder))
     except Exception as error:
