--- a/review/harness.py
+++ b/review/harness.py
@@ -690,11 +690,10 @@
 def main(case: Case) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run.
 
-    A case returns whether the rule held.
+    A case returns whether the rule held. The script's argument is the record's path.
     """
-    place = Path(sys.argv[0]).resolve().parent
     folder = Path(tempfile.mkdtemp(prefix="review-"))
-    record = Record(place / "record.txt")
+    record = Record(Path(sys.argv[1]))
     record.write(f"disruption: {'yes' if HAS_TROUBLE else 'no'}")
     status = 2
     # The processes of the case are ended even if the script is told to stop.
