Keep what is known of an attempt when its request is cancelled

The log of the host that had been frozen shows the order: the response broke off ("attempt.disconnected"), 3 ms later the verdict of the other hosts arrived and cancelled the request, and 20 ms after that, when the probe of the worker ended, the request was refused with outcome "not-run".

Cause: AttemptSender.send had its failure with the outcome "unknown" ready, but closing the connection in `finally` is a cancellation point, so that Cancelled replaced the failure. The clause that sets "unknown" on Cancelled does not cover `finally`, and the relay recorded outcomes only from results that were returned. Ruled out: a verdict that is applied before the response broke off (its log line comes after), and a refusal before sending (the request had been tried).

A request's outcome now is "unknown" from when an attempt begins until its end is known, so no cancellation anywhere in between can make it "not run". Closing a connection to an upstream is no cancellation point any more, so that a result survives it; this also covers the store client and the commands to ranks, which close in `finally` as well. The opposite loss is mended too: a deadline during a retry called a request "unknown" whose attempts had all been refused, so that its caller could not safely ask again.

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -13,7 +13,7 @@
 
 from ..errors import BufferFull, StreamError, UpstreamUnreachable
 from ..protocol.outcomes import Outcome
-from ..requests.retries import Failure, combine_outcomes
+from ..requests.retries import Failure
 from ..telemetry.logs import get_logger
 from ..transport.event_streams import is_event_stream
 from ..transport.http1_client import (
@@ -49,6 +49,11 @@
 
     status: int
 
+    @property
+    def outcome(self) -> Outcome:
+        """What is known of the attempt's effect."""
+        return Outcome.RAN
+
 
 @dataclass(frozen=True, slots=True)
 class FailedResponse:
@@ -61,6 +66,11 @@
     head: ResponseHead
     body: bytes
 
+    @property
+    def outcome(self) -> Outcome:
+        """What is known of the attempt's effect."""
+        return self.failure.outcome
+
 
 class AttemptSender:
     """Sends attempts to upstreams and returns their responses to callers.
@@ -105,10 +115,15 @@
         if failure := self._reason_not_to_send(job, upstream):
             await upstream.pool.release_unused(connection)
             return failure
-        job.tried.append(upstream.entry.id)
-        job.sent_at_ms = now_ms()
-        job.reading, job.framing = ResponsePart.HEAD, None
-        job.buffers.clear()
+        job.begin_attempt(upstream.entry.id)
+        result = await self._make_attempt(job, upstream, connection)
+        job.end_attempt(result.outcome)
+        return result
+
+    async def _make_attempt(
+        self, job: Job, upstream: Upstream, connection: Http1Connection
+    ) -> Completed | FailedResponse | Failure:
+        """Send the request, return the response and give the connection back."""
         is_complete = False
         try:
             with trio.move_on_after(self._head_timeout_s(job)) as timeout:
@@ -150,9 +165,6 @@
             return Failure(Outcome.UNKNOWN, str(error), 502, is_final=is_final)
         except BufferFull as error:
             return Failure(Outcome.UNKNOWN, str(error), 502)
-        except trio.Cancelled:
-            job.outcome = combine_outcomes(job.outcome, Outcome.UNKNOWN)
-            raise
         except (StreamError, h11.ProtocolError) as error:
             upstream.record_failure()
             return Failure(Outcome.UNKNOWN, f"invalid response: {error}", 502)
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -17,7 +17,6 @@
     GiveUp,
     Retry,
     RetryContext,
-    combine_outcomes,
     decide_retry,
 )
 from ..telemetry.logs import get_logger
@@ -92,9 +91,12 @@
                 with self._crash_watch.guard(job) as guard:
                     await self._serve(job)
                 if guard.cancelled_caught:
-                    await self._refuse(job, self._crash_watch.refuse(job))
+                    refusal = self._crash_watch.refuse(job)
+                    await self._end_cancelled(
+                        job, refusal.reason, refusal.retry_after_ms
+                    )
             if scope.cancelled_caught:
-                await self._time_out(job)
+                await self._end_cancelled(job, "the deadline has passed", 0.0)
         except trio.Cancelled:
             self._log_interrupted(job)
             raise
@@ -160,7 +162,7 @@
         n_attempts = 0
         while True:
             if refusal := self._crash_watch.refusal(job):
-                await self._refuse(job, refusal)
+                await self._give_up(job, refusal.reason, refusal.retry_after_ms, None)
                 return
             admission = await self._admit(job)
             if isinstance(admission, Refused):
@@ -174,7 +176,6 @@
                 return
             failed_response = result if isinstance(result, FailedResponse) else None
             failure = result.failure if isinstance(result, FailedResponse) else result
-            job.outcome = combine_outcomes(job.outcome, failure.outcome)
             n_attempts += not failure.is_planned
             context = RetryContext(
                 job.route.may_run_again,
@@ -244,26 +245,20 @@
         finally:
             routing_state.release(job.service, upstream, elapsed_ms(acquired_at_ms))
 
-    async def _refuse(self, job: Job, refusal: Failure) -> None:
-        """Send the final response to a request that crashes upstreams."""
-        await self._give_up(job, refusal.reason, refusal.retry_after_ms, None)
-
-    async def _time_out(self, job: Job) -> None:
-        """Send the final response to a request whose deadline has passed."""
+    async def _end_cancelled(
+        self, job: Job, reason: str, retry_after_ms: float
+    ) -> None:
+        """Send the final response to a request whose handling was cancelled."""
         if job.exchange.is_finished:
             self._log_interrupted(job)
             return
-        if job.tried:
-            job.outcome = combine_outcomes(job.outcome, Outcome.UNKNOWN)
-        await self._give_up(job, "the deadline has passed", 0.0, None)
+        await self._give_up(job, reason, retry_after_ms, None)
 
     def _log_interrupted(self, job: Job) -> None:
         """Log the end of a request whose task was cancelled or whose caller left."""
         if job.exchange.is_finished:
             self._log.log_end(job, "answered", job.exchange.status)
             return
-        if job.tried:
-            job.outcome = combine_outcomes(job.outcome, Outcome.UNKNOWN)
         self._log.log_end(job, "caller-left", 0)
 
     async def _give_up(
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -223,8 +223,12 @@
         return not _has_bytes(self._stream)
 
     async def close(self) -> None:
-        """Close the connection at once; the upstream then stops processing."""
-        await trio.aclose_forcefully(self._stream)
+        """Close the connection at once; the upstream then stops processing.
+
+        Not a cancellation point: what an exchange has returned isn't lost by its close.
+        """
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(self._stream)
 
     async def _next_event(self) -> h11.Event | type:
         try:
