Take no unnamed response on a kept connection for a request's own

Here: a response with another request's id was passed over already, but one without an id was taken for the request's own. Shown by a test with such a refusal in front of the real answer, before the change: /pay answered 503 while it ran, and /pay-twice, /read and a public route sent to a second upstream. A worker echoes the id, so that only a faulty one leaves it out.

A response without an id now counts only if it is the first one on its connection, where no earlier response can come again; others are passed over and logged like those with another id.

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -236,7 +236,11 @@
         for _ in range(MAX_SKIPPED_RESPONSES):
             response = await connection.read_head()
             metadata = self._protocol.read_response(response)
-            is_own = metadata.request_id in (None, request.id)
+            if metadata.request_id is None:
+                # Only the first response on a connection belongs to no earlier request.
+                is_own = connection.n_responses == 1
+            else:
+                is_own = metadata.request_id == request.id
             if not metadata.is_misdirected:
                 # When the request of a late response was sent is not known.
                 sent_at_ms = job.sent_at_ms if is_own else float("-inf")
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -90,6 +90,8 @@
         Idle time before the current use; 0 for a new connection.
     has_received_bytes : bool
         Whether any bytes were received in the current use.
+    n_responses : int
+        Heads of responses that were read so far, in all uses.
     framing : BodyFraming
         Framing of the response whose head was read last.
     end : ConnectionEnd
@@ -102,6 +104,7 @@
         self._request: h11.Request | None = None
         self.idle_before_use_s = 0.0
         self.has_received_bytes = False
+        self.n_responses = 0
         self.framing = BodyFraming.LENGTH
         self.end = ConnectionEnd.NONE
         self._idle_since = 0.0
@@ -135,6 +138,7 @@
                     continue
                 case h11.Response():
                     headers = event.headers.raw_items()
+                    self.n_responses += 1
                     self._update_keep_alive(headers)
                     self.framing = self._body_framing(event)
                     return ResponseHead(event.status_code, headers)
--- /dev/null
+++ b/tests/direct/test_faulty_answers.py
@@ -0,0 +1,77 @@
+"""Answers of faulty upstreams that belong to no request, or are not whole."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from tests.direct.relay_harness import (
+    STAMP,
+    ScriptedUpstream,
+    event,
+    good,
+    not_run,
+    open_relay,
+    response,
+    streaming,
+)
+
+REFUSAL = b"Poplarward-Not-Run: 1\r\n"
+NEVER_RUN = (408, 421, 429, 503)
+
+
+class RepeatingUpstream(ScriptedUpstream):
+    """Refuses one request, and does so once more when the next one arrives.
+
+    ``repeated`` changes the bytes of the refusal that comes again, on the connection of
+    the first one; the request that arrived runs all the same. `ran` lists those.
+    """
+
+    def __init__(self, repeated=lambda refusal: refusal):
+        super().__init__()
+        self.ran = []
+        self._repeated = repeated
+        self._refusals = {}
+        self.behaviours = [self._refuse, *[self._repeat_and_run] * 5]
+
+    async def _refuse(self, stream, request):
+        self._refusals[stream] = response(request, 503, b"", REFUSAL)
+        await stream.send_all(self._refusals[stream])
+
+    async def _repeat_and_run(self, stream, request):
+        self.ran.append(request)
+        if refusal := self._refusals.pop(stream, None):
+            await stream.send_all(self._repeated(refusal))
+        await trio.sleep(0.02)
+        await good(stream, request)
+
+
+def without_id(refusal):
+    """Return a response without the request's id."""
+    lines = refusal.split(b"\r\n")
+    return b"\r\n".join(x for x in lines if not x.startswith(b"Poplarward-Request-Id"))
+
+
+# Guards against REFUSED and TWICE: a refusal that came again on a kept connection was
+# taken for the answer to the request that ran meanwhile.
+@pytest.mark.parametrize("repeated", (lambda refusal: refusal, without_id))
+@pytest.mark.parametrize("path", ("/pay/2", "/pay-twice/2", "/read/2", "/open/2"))
+async def test_refusal_that_comes_again_belongs_to_no_later_request(path, repeated):
+    upstream, other = RepeatingUpstream(repeated), ScriptedUpstream()
+    async with open_relay(upstream, other) as harness:
+        harness.routing_state.upstreams.get("u1").n_peer_in_flight = 4
+        refused = await harness.call("/pay/1", "POST", b"x")
+        received = await harness.call(path, "POST", b"x", Poplarward_Request_Id="r-2")
+    assert refused.status == 503
+    assert [request.target for request in upstream.ran] == [path]
+    assert (received.status, received.body) == (200, b"whole")
+    assert other.seen == []
+
+
+async def test_response_without_an_id_is_taken_on_a_new_connection():
+    async def respond(stream, request):
+        await stream.send_all(without_id(response(request, extra=STAMP)))
+
+    async with open_relay(ScriptedUpstream(respond)) as harness:
+        received = await harness.call("/pay/1", "POST")
+    assert (received.status, received.body) == (200, b"whole")
