Retry at the upstream that refused on a new connection

The id does not help where the same request goes to the same upstream twice, as it does when there is no other one: on the kept connection the first refusal may come again with the right id while the second attempt runs. The test saw 503 for a request that ran (REFUSED); with a third attempt it would run at a second upstream as well (TWICE).

A request that an upstream has had before now travels over a new connection, so that an id and a connection name one attempt. Ruled out: closing each connection after a refusal, which costs a new channel for each one under load, while retries at the same upstream are rare.

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -102,7 +102,7 @@
     ) -> Completed | FailedResponse | Failure:
         """Make one attempt at an upstream."""
         try:
-            connection = await upstream.pool.acquire(self._max_idle_s(job))
+            connection = await upstream.pool.acquire(self._max_idle_s(job, upstream))
         except UpstreamUnreachable as error:
             upstream.record_unreachable(now_ms())
             return not_sent(str(error))
@@ -175,12 +175,15 @@
                 # Closing the connection makes the upstream stop its work.
                 await connection.close()
 
-    def _max_idle_s(self, job: Job) -> float:
+    def _max_idle_s(self, job: Job, upstream: Upstream) -> float:
         """Return how long a connection may have been idle to carry the request.
 
         A request sent on a connection that the upstream has dropped is lost. If it may
-        not run again, it can't be sent elsewhere then.
+        not run again, it can't be sent elsewhere then. A request that the upstream has
+        refused needs a new connection: on the old one, that refusal may come again.
         """
+        if upstream.entry.id in job.tried:
+            return 0.0
         if job.route.may_run_again:
             return self._routing_state.max_idle_s(job.service)
         return SAFE_IDLE_S
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -293,12 +293,13 @@
     async def acquire(self, max_idle_s: float = float("inf")) -> Http1Connection:
         """Return an idle connection, or a new one.
 
-        Connections that were idle for longer than `max_idle_s` are left in the pool
-        for other requests, as the peer may have silently dropped them.
+        Connections that were idle for `max_idle_s` or longer are left in the pool for
+        other requests, as the peer may have silently dropped them. With 0 the
+        connection is new.
         """
         while self._idle:
             now = trio.current_time()
-            if self._idle[-1].idle_s(now) > max_idle_s:
+            if self._idle[-1].idle_s(now) >= max_idle_s:
                 break
             connection = self._idle.pop()
             connection.idle_before_use_s = connection.idle_s(now)
--- a/tests/direct/test_faulty_answers.py
+++ b/tests/direct/test_faulty_answers.py
@@ -68,6 +68,15 @@
     assert other.seen == []
 
 
+async def test_refusal_that_comes_again_for_a_retry_is_no_promise():
+    """The retry goes to the same upstream, as there is no other."""
+    upstream = RepeatingUpstream()
+    async with open_relay(upstream) as harness:
+        received = await harness.call("/pay-twice/1", "POST", b"x")
+    assert len(upstream.ran) == 1
+    assert received.status not in NEVER_RUN
+
+
 async def test_response_without_an_id_is_taken_on_a_new_connection():
     async def respond(stream, request):
         await stream.send_all(without_id(response(request, extra=STAMP)))
@@ -75,3 +84,11 @@
     async with open_relay(ScriptedUpstream(respond)) as harness:
         received = await harness.call("/pay/1", "POST")
     assert (received.status, received.body) == (200, b"whole")
+
+
+async def test_upstream_that_refuses_both_attempts_is_believed():
+    upstream = ScriptedUpstream(not_run, not_run)
+    async with open_relay(upstream) as harness:
+        received = await harness.call("/pay-twice/1", "POST", b"x")
+    assert received.status == 503
+    assert len(upstream.seen) == 2
