Resume a stream only with a response of the same status

Tried on this path with nine answers to the resumption of a stream (500, 404, refusals, another type, no stamp, no head at all, an error with events): none was passed on and each stream was visibly incomplete, but for one. After 204, which has no body and so an end in order, the stream ended as if it were whole: without new events, a resumed stream counts as one that had broken off after its last event.

A resumed stream whose response has another status than the one that the caller has seen is now given up like any other invalid response. The case failed before and passes now.

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -332,6 +332,8 @@
         Raises `UpstreamUnreachable` if the stream was broken off.
         """
         exchange = job.exchange
+        if exchange.is_started and head.status != exchange.status:
+            raise StreamError(f"status {head.status} on a resumed stream")
         headers = self._protocol.returned_headers(head)
         if job.stream is None:
             job.stream = ResumableStream(job.request.last_event_id)
--- a/tests/direct/test_faulty_answers.py
+++ b/tests/direct/test_faulty_answers.py
@@ -77,6 +77,43 @@
     assert received.status not in NEVER_RUN
 
 
+ERRORS = {
+    "500": lambda request: response(request, 500, b"error\n\n", STAMP),
+    "404": lambda request: response(request, 404, b"error\n\n", STAMP),
+    "not run": lambda request: response(request, 503, b"error\n\n", REFUSAL),
+    "misdirected": lambda request: response(request, 421, b"error\n\n"),
+    "event stream of an error": lambda request: response(
+        request, 500, event(3), STAMP + b"Content-Type: text/event-stream\r\n"
+    ),
+    "document": lambda request: response(
+        request, 200, b"error\n\n", STAMP + b"Content-Type: text/plain\r\n"
+    ),
+    "no content": lambda request: (
+        b"HTTP/1.1 204 X\r\nPoplarward-Request-Id: r-1\r\n" + STAMP + b"\r\n"
+    ),
+    "no stamp": lambda request: response(request, 200, event(3)),
+    "no head": lambda request: b"error\r\n\r\n",
+}
+
+
+# Guards against ORDER and MIXED: the error of the next upstream stood in the middle of
+# a stream that had broken off, or ended it as if it were whole.
+@pytest.mark.parametrize("error", ERRORS)
+@pytest.mark.parametrize("path", ("/write/1", "/write-once/1"))
+async def test_error_after_a_stream_has_begun_is_no_part_of_it(path, error):
+    async def respond_with_error(stream, request):
+        await stream.send_all(ERRORS[error](request))
+
+    first = ScriptedUpstream(streaming(1, 2, is_cut=True, half_event=True))
+    second = ScriptedUpstream(*[respond_with_error] * 3)
+    async with open_relay(first, second) as harness:
+        harness.routing_state.upstreams.get("u1").n_peer_in_flight = 1
+        received = await harness.call(path, "POST", b"x")
+    assert received.status == 200
+    assert received.body == event(1) + event(2)
+    assert not received.is_whole
+
+
 async def test_response_without_an_id_is_taken_on_a_new_connection():
     async def respond(stream, request):
         await stream.send_all(without_id(response(request, extra=STAMP)))
