Test that a response whose head breaks off is none

From other operators: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body (MIXED). Not so on this path: for heads of four kinds, cut each 7 bytes and in their last three, a call that may not be repeated, a stream and a call that may be all end with 502 and no body if no upstream answers, and the latter two are retried. h11 reports a connection that closes inside a head as an error.

--- a/tests/direct/test_faulty_answers.py
+++ b/tests/direct/test_faulty_answers.py
@@ -114,6 +114,50 @@
     assert not received.is_whole
 
 
+HEAD = b"HTTP/1.1 200 OK\r\nPoplarward-Request-Id: r-1\r\n" + STAMP
+HEADS = (
+    HEAD + b"\r\n",
+    HEAD + b"Content-Length: 15\r\n\r\n",
+    HEAD + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"\r\n",
+)
+
+
+# Guards against MIXED: a head that broke off was completed, with an empty body.
+@pytest.mark.parametrize("head", HEADS)
+@pytest.mark.parametrize("path", ("/pay/1", "/write/1", "/read/1"))
+async def test_head_that_breaks_off_is_no_response(path, head):
+    cuts = [head[:n_bytes] for n_bytes in range(0, len(head), 7)]
+    cuts += [head[:-1], head[:-2], head[:-3]]
+    sent = iter(())
+
+    async def break_off(stream, request):
+        await stream.send_all(next(sent))
+        return False
+
+    for cut in cuts:
+        sent = iter([cut] * 3)
+        async with open_relay(ScriptedUpstream(*[break_off] * 3)) as harness:
+            received = await harness.call(path, "POST", b"x")
+        assert (received.status, received.body) == (502, b""), cut
+
+
+@pytest.mark.parametrize("path", ("/read/1", "/write/1"))
+async def test_request_whose_head_broke_off_is_retried(path):
+    async def break_off(stream, request):
+        await stream.send_all(HEAD)
+        return False
+
+    whole = streaming(1, 2) if path == "/write/1" else good
+    first, second = ScriptedUpstream(break_off), ScriptedUpstream(whole)
+    async with open_relay(first, second) as harness:
+        harness.routing_state.upstreams.get("u1").n_peer_in_flight = 1
+        received = await harness.call(path, "POST", b"x")
+    assert received.status == 200
+    assert received.is_whole
+    assert len(first.seen) == len(second.seen) == 1
+
+
 async def test_response_without_an_id_is_taken_on_a_new_connection():
     async def respond(stream, request):
         await stream.send_all(without_id(response(request, extra=STAMP)))
