Send each request of an agent over a connection of its own

Callers got another request's answer (MIXED), and the real one stood ready for the request after it.

Agents' calls to their upstream, and their commands to its engine, no longer reuse connections, so that no earlier response can be on one. Ruled out: to close connections with surplus bytes only, or after errors only, which leaves extra responses that come late.

--- a/poplarward/programs/agent_host.py
+++ b/poplarward/programs/agent_host.py
@@ -104,7 +104,10 @@
         lease = slot_of(map_role(group))
         self.fences = FenceSync(self.peers, self.store, group, lease, query_agents)
         client = HttpClient(
-            self.upstream.url, N_ENGINE_CONNECTIONS, self.upstream.access
+            self.upstream.url,
+            N_ENGINE_CONNECTIONS,
+            self.upstream.access,
+            keeps_connections=False,
         )
         engine = HttpEngineControl(client)
         self.maps = MapParticipant(self.peers, group, engine, self.fences, ranks)
--- a/poplarward/requests/upstream.py
+++ b/poplarward/requests/upstream.py
@@ -180,7 +180,10 @@
     def __init__(self, settings: UpstreamSettings, client: UpstreamClient | None):
         self.settings = settings
         self._client = client or HttpClient(
-            settings.url, settings.n_slots * 2, settings.access
+            settings.url,
+            settings.n_slots * 2,
+            settings.access,
+            keeps_connections=False,
         )
 
     async def close(self) -> None:
--- a/poplarward/transport/http_client.py
+++ b/poplarward/transport/http_client.py
@@ -44,7 +44,7 @@
 
 
 class HttpClient:
-    """Client of one upstream with a pool of persistent connections.
+    """Client of one server, with a pool of persistent connections if they are kept.
 
     Parameters
     ----------
@@ -54,6 +54,9 @@
         Maximum number of open connections; further calls wait.
     access : HttpAccess, optional
         TLS context and credential for the server.
+    keeps_connections : bool
+        Whether calls reuse connections. If they do, an extra response to an earlier
+        call may be taken for the response to the next one.
     """
 
     def __init__(
@@ -61,9 +64,11 @@
         base_url: str,
         n_connections: int = 256,
         access: HttpAccess | None = None,
+        keeps_connections: bool = True,
     ):
         self._base_url = base_url.rstrip("/")
         self._access = access or HttpAccess()
+        self._keeps_connections = keeps_connections
         self._origin = httpcore.URL(self._base_url).origin
         self._limit = trio.Semaphore(n_connections)
         self._idle: list[httpcore.AsyncHTTPConnection] = []
@@ -162,7 +167,7 @@
                 with trio.CancelScope(shield=True):
                     await response.aclose()
         finally:
-            if connection.is_idle():
+            if connection.is_idle() and self._keeps_connections:
                 self._idle.append(connection)
                 # The list is used last in, first out, so its first entry is the oldest.
                 connection = self._idle.pop(0) if self._idle[0].has_expired() else None
