Resume an agent's stream only with an event stream

A response that continues a stream must be an event stream now, as the first one was; otherwise it is a mismatch like one of another status, and the caller gets the error event.

--- a/poplarward/requests/responses.py
+++ b/poplarward/requests/responses.py
@@ -59,12 +59,14 @@
 
     async def write_head(self, head: Head) -> None:
         """Send or keep the head of an attempt's response; raises `ResponseMismatch`."""
+        content_type = dict(head.headers).get("content-type", "")
         if self.is_started:
             if head.status != 200:
                 raise ResponseMismatch(f"the resumed answer has status {head.status}")
+            if not is_event_stream(content_type):
+                raise ResponseMismatch("the resumed answer is no event stream")
             return
         self._head = head
-        content_type = dict(head.headers).get("content-type", "")
         if self._can_resume and is_event_stream(content_type):
             await self._responder.start(head.status, _response_headers(head))
 
--- a/tests/requests/test_faulty_answers.py
+++ b/tests/requests/test_faulty_answers.py
@@ -7,12 +7,19 @@
 import pytest
 import trio
 
+from benchmarks.memory_path import (
+    MemoryPath,
+    MemoryUpstream,
+    RecordingResponder,
+    draft,
+)
 from poplarward.errors import UpstreamUnreachable
 from poplarward.protocol import RequestId
 from poplarward.protocol.reports import UpstreamKind
 from poplarward.protocol.requests import PriorityClass, Submit
 from poplarward.requests import UpstreamSettings
 from poplarward.requests.upstream import Upstream
+from poplarward.standins.engine import EngineStandin, EngineTiming, completion_words
 from tests.direct.relay_harness import ScriptedUpstream, response
 
 HEADERS = [("poplarward-request-id", "r-1")]
@@ -105,3 +112,50 @@
             with pytest.raises(UpstreamUnreachable) as caught:
                 await forward(upstream, submit(1))
             assert caught.value.sent, cut
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (500, [("content-type", "application/json")]),
+        (404, [("content-type", "text/plain")]),
+        (503, [("content-type", "text/event-stream")]),
+        (200, [("content-type", "text/plain")]),
+        (200, []),
+        (204, []),
+    ],
+)
+# Guards against ORDER and MIXED: the error of the next engine stood in the middle of a
+# stream that had broken off, or ended it as if it were whole.
+async def test_error_after_a_stream_has_begun_is_no_part_of_it(
+    nursery, autojump_clock, status, headers
+):
+    async def respond_with_error(request, responder):
+        await responder.start(status, headers)
+        await responder.finish(b"the error" if status != 204 else b"")
+
+    path = MemoryPath(nursery)
+    engine = EngineStandin(EngineTiming(50.0, 8))
+    nursery.start_soon(engine.run)
+    clients = {}
+    for number in (1, 2):
+        clients[f"agent-{number}"] = client = MemoryUpstream(nursery, engine.handle)
+        await path.start_agent(
+            f"agent-{number}", f"10.2.0.{number}", "engine", "drafts", client, 8
+        )
+    entry = await path.start_entry()
+    caller = RecordingResponder()
+    nursery.start_soon(entry.run, draft(), caller)
+    await caller.body_started.wait()
+    [busy] = [name for name, agent in path.agents.items() if agent.n_attempts]
+    [other] = clients.keys() - {busy}
+    clients[other]._handler = respond_with_error
+    clients[busy].crash()
+    await trio.sleep(15)
+    events = caller.body.split(b"\n\n")
+    assert b"the error" not in caller.body
+    assert b"[DONE]" not in caller.body
+    assert events[-2].startswith(b"event: error\n")
+    words = completion_words("A grey cat.", 20)
+    assert caller.words() == words[: len(caller.words())]
+    nursery.cancel_scope.cancel()
