Take no late answer to a request for the answer to a command

A late answer to a caller's request came where the answer to `arm` was expected; the leader took its 200 and ended the hold, though the rank had refused.

Cause: calls of the host itself share connections with callers' requests and took the first response for their own. The loop that finds the response to a request among others was part of AttemptSender; it now stands in own_responses.py and serves both. A response that names a request is never the response to a call that was sent without an id.

Tried first and given up: an id for each such call, with unnamed responses refused. What stays open: an extra response to an earlier command or report has no id and can't be told apart.

Tests, failing before: a late 200 and a late 409 before the answers to two commands, a late 200 before a report.

--- a/poplarward/direct/attempts.py
+++ b/poplarward/direct/attempts.py
@@ -14,7 +14,6 @@
 from ..errors import BufferFull, StreamError, UpstreamUnreachable
 from ..protocol.outcomes import Outcome
 from ..requests.retries import Failure
-from ..telemetry.logs import get_logger
 from ..transport.event_streams import is_event_stream
 from ..transport.http1_client import (
     SAFE_IDLE_S,
@@ -26,6 +25,7 @@
 from .crash_watch import CrashWatch
 from .job import Job, ResponsePart
 from .model import Repeatability
+from .own_responses import MAX_RESPONSE_BYTES, read_own_head
 from .ports import CallProtocol, ForwardingContext, ResponseMetadata
 from .request_log import RequestLog
 from .routing_state import RoutingState
@@ -34,13 +34,9 @@
 
 __all__ = ["AttemptSender", "Completed", "FailedResponse", "not_sent"]
 
-MAX_RESPONSE_BYTES = 16_777_216  # Plain responses are buffered; far above usual sizes.
 # Fraction of the time left after which an attempt without a response is given up, if
 # the request can be retried.
 FIRST_ATTEMPT_TIMEOUT_FRACTION = 0.5
-MAX_SKIPPED_RESPONSES = 3  # Late responses to earlier requests that are discarded.
-
-log = get_logger("attempts")
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,34 +232,14 @@
         )
         head = exchange.head
         await connection.send(head.method, head.target, headers, exchange.body)
-        for _ in range(MAX_SKIPPED_RESPONSES):
-            response = await connection.read_head()
-            metadata = self._protocol.read_response(response)
-            if metadata.request_id is None:
-                # Only the first response on a connection belongs to no earlier request.
-                is_own = connection.n_responses == 1
-            else:
-                is_own = metadata.request_id == request.id
-            if not metadata.is_misdirected:
-                # When the request of a late response was sent is not known.
-                sent_at_ms = job.sent_at_ms if is_own else float("-inf")
-                upstream.notices.record(metadata.notice, sent_at_ms, now_ms())
-            if is_own:
-                if not metadata.is_misdirected:
-                    self._routing_state.upstream_limits.record_response(
-                        upstream.limited, metadata.limit_per_s, job.sent_at_ms, now_ms()
-                    )
-                return response, metadata
-            log.warning(
-                "response.mismatched",
-                request=request.id,
-                response_to=metadata.request_id,
-                upstream=upstream.entry.id,
+        response, metadata = await read_own_head(
+            connection, self._protocol, upstream, request.id, job.sent_at_ms
+        )
+        if not metadata.is_misdirected:
+            self._routing_state.upstream_limits.record_response(
+                upstream.limited, metadata.limit_per_s, job.sent_at_ms, now_ms()
             )
-            await connection.skip_body(MAX_RESPONSE_BYTES)
-            if not connection.expect_another_response():
-                break
-        raise UpstreamUnreachable("responses to other requests", sent=True)
+        return response, metadata
 
     async def _handle_response(
         self,
--- a/poplarward/platform/upstream_calls.py
+++ b/poplarward/platform/upstream_calls.py
@@ -5,6 +5,7 @@
 import trio
 
 from ..direct.clock import now_ms
+from ..direct.own_responses import read_own_head
 from ..direct.upstreams import UpstreamTable
 from ..errors import UpstreamUnreachable
 from ..transport.http1_client import SAFE_IDLE_S
@@ -53,7 +54,10 @@
             with trio.fail_after(timeout_s):
                 connection = await upstream.pool.acquire(max_idle_s)
                 await connection.send(method, path, [host, instance, *headers], body)
-                head = await connection.read_head()
+                # Upstreams name no id in responses to calls like these.
+                head, _ = await read_own_head(
+                    connection, self._headers, upstream, None, sent_at_ms
+                )
                 content = await connection.read_body(MAX_RESPONSE_BYTES)
                 is_whole = True
         except (UpstreamUnreachable, trio.TooSlowError) as error:
@@ -63,7 +67,4 @@
                 await upstream.pool.release(connection)
             elif connection is not None:
                 await connection.close()
-        metadata = self._headers.read_response(head)
-        if not metadata.is_misdirected:
-            upstream.notices.record(metadata.notice, sent_at_ms, now_ms())
         return head.status, content
--- a/tests/direct/relay_harness.py
+++ b/tests/direct/relay_harness.py
@@ -147,10 +147,11 @@
 
 
 def response(request, status=200, body=b"whole", extra=b"", request_id=None):
-    """Return the bytes of a response."""
-    shown = request_id or request.headers["poplarward-request-id"]
+    """Return the bytes of a response, which echoes the id of its request if any."""
+    shown = request_id or request.headers.get("poplarward-request-id")
     return (
-        b"HTTP/1.1 %d X\r\nPoplarward-Request-Id: %s\r\n" % (status, shown.encode())
+        b"HTTP/1.1 %d X\r\n" % status
+        + (b"Poplarward-Request-Id: %s\r\n" % shown.encode() if shown else b"")
         + extra
         + b"Content-Length: %d\r\n\r\n" % len(body)
         + body
--- a/tests/platform/test_rank_control.py
+++ b/tests/platform/test_rank_control.py
@@ -5,6 +5,7 @@
 import json
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 
 from poplarward.direct.model import UpstreamEntry
@@ -14,7 +15,8 @@
 from poplarward.platform.headers import PlatformHeaders
 from poplarward.platform.rank_control import PlatformRankControl
 from poplarward.platform.upstream_calls import UpstreamCalls
-from tests.direct.relay_harness import ScriptedUpstream, response
+from tests.direct.relay_harness import STAMP, ScriptedUpstream, response
+from tests.platform.test_short_responses import REPORT
 
 N_RANKS = 72
 LAYERS = [tuple((rank, rank + 1, rank + 2) for rank in range(N_RANKS))] * 12
@@ -38,7 +40,7 @@
 
     async def accept_after_queue(stream, request):
         await trio.sleep(2 * rank_control.COMMAND_TIMEOUT_S)
-        await stream.send_all(response(request, 202, b"", request_id="r"))
+        await stream.send_all(response(request, 202, b""))
 
     upstream = ScriptedUpstream(accept_after_queue)
     async with rank(upstream, link_mbps=0.1) as control:
@@ -63,10 +65,43 @@
         if n_requests[stream] > 1:
             return False
         body = b'{"step": 3, "counts": [1]}'
-        await stream.send_all(response(request, 200, body, request_id="r"))
+        await stream.send_all(response(request, 200, body))
 
     upstream = ScriptedUpstream(*[lost_if_reused] * 3)
     async with rank(upstream, link_mbps=100.0) as control:
         assert await control.counts("u0") == (3, [1])
         assert await control.counts("u0") == (3, [1])
     assert len(upstream.seen) == 3
+
+
+# Guards against MAP: the leader took a late answer to a caller's request for that of a
+# rank which had refused to arm.
+@pytest.mark.parametrize("status", (200, 409))
+async def test_late_answer_to_a_request_is_no_answer_to_a_command(status):
+    async def answer_late_then_refuse(stream, request):
+        late = response(request, status, b"whole", STAMP, request_id="r-1")
+        await stream.send_all(late)
+        await stream.send_all(response(request, 409, b""))
+
+    async def answer_late_then_accept(stream, request):
+        late = response(request, status, b"whole", STAMP, request_id="r-1")
+        await stream.send_all(late)
+        await stream.send_all(response(request, 202, b""))
+
+    upstream = ScriptedUpstream(answer_late_then_refuse, answer_late_then_accept)
+    async with rank(upstream, link_mbps=1_000.0) as control:
+        results = [await control.arm("u0", 1, 7, 20) for _ in range(2)]
+    assert results == [CommandResult.REFUSED, CommandResult.ACCEPTED]
+
+
+async def test_late_answer_to_a_request_is_no_report_of_a_rank():
+    async def answer_late_then_report(stream, request):
+        late = response(request, 200, b"whole", STAMP, request_id="r-1")
+        await stream.send_all(late)
+        await stream.send_all(response(request, 200, json.dumps(REPORT).encode()))
+
+    upstream = ScriptedUpstream(answer_late_then_report)
+    async with rank(upstream, link_mbps=1_000.0) as control:
+        report = await control.report("u0")
+    assert report is not None
+    assert report.step == REPORT["step"]
