Let no unreadable entry end a process or hide the others

The id passed decode_upstream, which checked the fields alone, and could not be encoded when the crash id of the new upstream was computed.

An entry now names an upstream only if its id, service and data centre are printable, so that they fit into headers, heartbeats and logs; this also covers control characters, with which the leader's call to that upstream ended the process. Related paths: the same bytes sent raw made a whole page unreadable for as long as the entry was there, and a page that ended with such a name could not be continued; entries of the hosts' own registry were used without a check of their fields.

--- a/poplarward/platform/configuration.py
+++ b/poplarward/platform/configuration.py
@@ -18,7 +18,12 @@
 from ..transport.http1_server import CallerLimits
 from .fields import FieldReader
 
-__all__ = ["CONFIGURATION_NAME", "decode_configuration", "decode_upstream"]
+__all__ = [
+    "CONFIGURATION_NAME",
+    "decode_configuration",
+    "decode_host",
+    "decode_upstream",
+]
 
 CONFIGURATION_NAME = "main"
 
@@ -141,6 +146,13 @@
     Other programs write entries too, which may have any content.
     """
     reader = FieldReader(f"servers/{upstream_id}", spec)
+    for name, text in (
+        ("id", upstream_id),
+        ("service", reader.text("service")),
+        ("zone", reader.text("zone")),
+    ):
+        if not _is_readable(text):
+            reader.add_finding(name, text, "printable characters")
     state = reader.text("state")
     if state not in _IS_LEAVING:
         reader.add_finding("state", state, ", ".join(_IS_LEAVING))
@@ -165,6 +177,26 @@
     return entry
 
 
+def decode_host(name: str, spec: Any) -> tuple[str, int]:
+    """Return where a host receives heartbeats; raises `FindingsError`."""
+    reader = FieldReader(f"hosts/{name}", spec)
+    ip, port = reader.text("ip"), reader.integer("port")
+    if not _is_ipv4(ip):
+        reader.add_finding("ip", ip, "an IP number")
+    if not 0 < port < 65_536:
+        reader.add_finding("port", port, "a port")
+    reader.raise_findings()
+    return ip, port
+
+
+def _is_readable(text: str) -> bool:
+    """Whether a text can be a header's value, and is not empty.
+
+    Bytes that are no UTF-8 are decoded to unpaired surrogates, which are not printable.
+    """
+    return text.isprintable() and bool(text) and text == text.strip()
+
+
 def _is_ipv4(text: str) -> bool:
     parts = text.split(".")
     return len(parts) == 4 and all(_is_below(256, part) for part in parts)
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -27,7 +27,12 @@
 from ..telemetry.logs import get_logger
 from ..telemetry.metrics import RequestMetrics
 from ..transport.http1_server import CallerLimits, Exchange, Http1Server
-from .configuration import CONFIGURATION_NAME, decode_configuration, decode_upstream
+from .configuration import (
+    CONFIGURATION_NAME,
+    decode_configuration,
+    decode_host,
+    decode_upstream,
+)
 from .headers import PlatformHeaders
 from .lookups import respond_to_lookup
 from .rank_control import PlatformRankControl
@@ -260,7 +265,7 @@
         """
         settings = self._settings
         spec = {"ip": settings.ip, "port": settings.exchange_port}
-        feed = StoreFeed(self._store, HOSTS_KIND, lambda _, spec: spec)
+        feed = StoreFeed(self._store, HOSTS_KIND, decode_host)
         backoff = self._backoff()
         while True:
             try:
@@ -274,9 +279,7 @@
                 log.warning("hosts.registration_failed", reason=str(error))
                 await backoff.wait()
         endpoints = {
-            (entry["ip"], entry["port"])
-            for entry in listing.objects.values()
-            if isinstance(entry, dict) and entry.get("ip") != settings.ip
+            (ip, port) for ip, port in listing.objects.values() if ip != settings.ip
         }
         self._exchange.add_endpoints(endpoints)
         log.info("hosts.registered", n_others=len(endpoints))
--- a/poplarward/platform/store.py
+++ b/poplarward/platform/store.py
@@ -55,7 +55,7 @@
 
     async def list_page(self, kind: str, after: str | None) -> dict[str, Any]:
         """Return a page of a kind's objects."""
-        query = f"?after={quote(after)}" if after else ""
+        query = f"?after={quote(after, errors='surrogateescape')}" if after else ""
         response = await self._call("GET", f"/objects/{kind}{query}", None)
         return _checked_document(response, kind)
 
@@ -115,7 +115,19 @@
                 await self._pool.release(connection)
             else:
                 await connection.close()
-        return _Response(head.status, decode_json(content) if content else None)
+        return _Response(head.status, _decode(content) if content else None)
+
+
+def _decode(content: bytes) -> Any:
+    """Return a document; raises `ValueError`.
+
+    One text that can't be read must not hide the rest, so that bytes that are no UTF-8
+    become unpaired surrogates.
+    """
+    try:
+        return decode_json(content)
+    except UnicodeDecodeError:
+        return decode_json(content.decode(errors="surrogateescape"))
 
 
 def _checked_document(response: _Response, what: str) -> dict[str, Any]:
--- a/poplarward/requests/suspects/digests.py
+++ b/poplarward/requests/suspects/digests.py
@@ -47,7 +47,7 @@
 
     An upstream crashes once in each of its starts.
     """
-    name = f"{upstream_id}/{started_at_ms}".encode()
+    name = f"{upstream_id}/{started_at_ms}".encode(errors="surrogatepass")
     return int.from_bytes(hashlib.blake2b(name, digest_size=CRASH_ID_BYTES).digest())
 
 
--- a/poplarward/transport/decoding.py
+++ b/poplarward/transport/decoding.py
@@ -10,7 +10,7 @@
 MAX_DIGITS = 18  # Fits into 64 bits.
 
 
-def decode_json(data: bytes) -> Any:
+def decode_json(data: bytes | str) -> Any:
     """Return the value of a JSON document; raises `ValueError` for anything else."""
     try:
         return json.loads(data)
