Treat a missing descriptor like a connection that can't be opened

The review read, without a try, that an OSError ends a process when descriptors run out: Http1Pool._open made its socket outside of its `try`. The new test raised OSError before and gets UpstreamUnreachable now, with the request not sent, which every caller of the pool handles (requests, commands to ranks, the store).

--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -334,7 +334,10 @@
     async def _open(self) -> Http1Connection:
         host, _, port = self.address.rpartition(":")
         self.n_opened += 1
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            raise UpstreamUnreachable(f"no socket: {error}", sent=False) from error
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 from functools import partial
 
+import pytest
 import trio
 
+from poplarward.errors import UpstreamUnreachable
 from poplarward.transport.http1_client import Http1Pool
 
 
@@ -35,3 +38,14 @@
         status = head.status
     assert status == 202
     nursery.cancel_scope.cancel()
+
+
+# Guards against processes that end by themselves when descriptors run out.
+async def test_request_without_a_free_descriptor_is_not_sent(monkeypatch):
+    def fail(*args):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(trio.socket, "socket", fail)
+    with pytest.raises(UpstreamUnreachable) as caught:
+        await Http1Pool("127.0.0.1:9", n_idle=1).acquire()
+    assert not caught.value.sent
