Notice a lost change of the configuration within three seconds

Cause: a watch of the configuration waited up to 3.0 s and its response 0.6 s more, so that a channel that returns nothing was noticed after up to 3.6 s. It now waits 2.0 s, as much less as a new call and a delayed retry need; the watch of the registry waits 2.4 s already. Ruled out: a shorter margin for the response, which a slow store would miss. The price is one call of a watch each 2 s instead of 3 s from every host.

--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -42,7 +42,7 @@
 
 __all__ = ["EntryRole"]
 
-CONFIGURATION_WAIT_MS = 3_000  # Short enough to confirm it before it is outdated.
+CONFIGURATION_WAIT_MS = 2_000  # A lost response is noticed well within 3 s.
 CONFIRM_WAIT_MS = 200  # For the call after a change; see `FeedWatcher`.
 UPSTREAMS_WAIT_MS = 2_400  # A dead connection is noticed in about this time.
 # Of the platform's limit for a revocation; the rest is for requests in transit.
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -18,6 +18,10 @@
     mode : str
         "up", "busy" (responds 503), "silent" (no response), or "lost" (writes take
         effect but get no response).
+    n_lost_changes : int
+        Number of next responses to watches, with changes, that are lost.
+    watched_at : dict of float
+        When the last watch of each kind began, in seconds.
     """
 
     def __init__(self):
@@ -27,6 +31,8 @@
         self.objects = {}
         self.history = []
         self.n_calls = 0
+        self.n_lost_changes = 0
+        self.watched_at = {}
         self.changed = trio.Event()
         self.server = Http1Server(self.handle, CallerLimits, 50)
         self.port = 0
@@ -74,6 +80,9 @@
         _, kind, *rest = url.path.strip("/").split("/")
         if exchange.head.method == "GET" and "watch" in query:
             status, document = await self._watch(kind, query)
+            if self.n_lost_changes and document.get("events"):
+                self.n_lost_changes -= 1
+                await trio.sleep_forever()
         elif exchange.head.method == "GET":
             status, document = self._list(kind, query.get("after", ""))
         else:
@@ -94,6 +103,7 @@
 
     async def _watch(self, kind, query):
         after = int(query["watch"])
+        self.watched_at[kind] = trio.current_time()
         with trio.move_on_after(int(query["waitMs"]) / 1000):
             while True:
                 if after < self.oldest_revision:
--- a/tests/platform/test_entry_process.py
+++ b/tests/platform/test_entry_process.py
@@ -22,6 +22,8 @@
 from tests.platform.entry_process import free_ports, http_get
 from tests.platform.store_standin import StoreStandin
 
+STABLE_WINDOW_S = 3.0  # `stableWindowMs` of the platform's settings.
+
 
 class Entry:
     """An entry process, with methods to call it."""
@@ -136,6 +138,24 @@
     assert "event=store.undecodable" in log_of(tmp_path)
 
 
+# Guards against CONFIG: a lost response was noticed later than the time for which the
+# disruption excuses an old configuration.
+async def test_lost_change_of_the_configuration_is_applied_within_the_calm(tmp_path):
+    store, upstream = StoreStandin(), ScriptedUpstream()
+    async with running_entry(tmp_path, store, upstream) as entry:
+        assert (await entry.call("/read/1")).status == 200
+        store.watched_at.clear()
+        while "config" not in store.watched_at:
+            await trio.sleep(0.005)
+        store.n_lost_changes = 1
+        store.put("config", "main", config_document(9, key="k-9"))
+        changed_at = trio.current_time()
+        while (await entry.call("/read/1", key="k-9")).status != 200:
+            await trio.sleep(0.02)
+        assert trio.current_time() - changed_at < STABLE_WINDOW_S
+        assert store.n_lost_changes == 0
+
+
 async def test_key_is_refused_after_a_long_outage_of_the_store(tmp_path):
     store, upstream = StoreStandin(), ScriptedUpstream()
     async with running_entry(tmp_path, store, upstream) as entry:
