Let the stand-in of upstreams with notices name no id for health checks

test_upstream_notices.py failed: upstreams that stay again were not used again. Since the host passes over responses to other requests, its health checks had no answer. The stand-in now echoes what it got; its checks are as they were.

--- a/tests/platform/notice_scenarios.py
+++ b/tests/platform/notice_scenarios.py
@@ -142,9 +142,7 @@
         if self.is_leaving():
             extra += b"Server-Leaving: 1\r\n"
         if request.target == "/health":
-            await stream.send_all(
-                response(request, 200, b"", extra=extra, request_id="h")
-            )
+            await stream.send_all(response(request, 200, b"", extra=extra))
             return
         host, _, sent_at = request.target.rpartition("/")[2].partition("-")
         record.arrivals.append(Arrival(trio.current_time(), float(sent_at), host))
