List anew after contact with the store was lost

Cause: a host kept the revision of its last response over any failure of the store. A store that comes back from an older copy counts on from a lower revision and gives the same numbers out again. Asked for the changes after such a number, it answers without those before it, and the copy counts as confirmed.

Change: a revision is used only while contact lasts. After a failed call, after an idle connection that the store has ended, and after a response with a lower revision, each feed lists its objects anew. Entries that are missing then get the same time to come back as after an outage that the feed saw itself.

Ruled out: slow retries.

--- a/poplarward/direct/feed_watcher.py
+++ b/poplarward/direct/feed_watcher.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ..errors import RevisionTooOld, StoreUnavailable
+from ..errors import RevisionTooOld, StoreInterrupted, StoreUnavailable
 from ..state.budget import Backoff
 from ..telemetry.logs import get_logger
 from .clock import elapsed_ms, now_ms
@@ -103,8 +103,15 @@
                         else BATCH_DELAY_S
                     )
                 self._record_available()
-            except RevisionTooOld:
-                log.info("feed.revision_expired", feed=self._name, revision=revision)
+            except RevisionTooOld as error:
+                if isinstance(error, StoreInterrupted):
+                    self._recovered_at_ms = now_ms()
+                log.info(
+                    "feed.revision_expired",
+                    feed=self._name,
+                    revision=revision,
+                    reason=str(error),
+                )
                 revision = None
             except StoreUnavailable as error:
                 self._record_unavailable(str(error))
--- a/poplarward/direct/ports.py
+++ b/poplarward/direct/ports.py
@@ -58,7 +58,8 @@
     async def changes(self, after_revision: int, wait_ms: int) -> FeedChanges:
         """Return the changes after a revision, waiting until there are some.
 
-        Raises `RevisionTooOld` if the store has discarded them.
+        Raises `RevisionTooOld` if the store has discarded them, `StoreInterrupted` if
+        it may give the revision to other changes since it was read.
         """
         ...
 
--- a/poplarward/errors.py
+++ b/poplarward/errors.py
@@ -29,6 +29,7 @@
     "Refused",
     "RevisionTooOld",
     "StaleFence",
+    "StoreInterrupted",
     "StoreUnavailable",
     "StreamError",
     "UpstreamUnreachable",
@@ -85,6 +86,14 @@
     """The changes since a revision are no longer available; list again."""
 
 
+class StoreInterrupted(RevisionTooOld):
+    """Contact with the store was lost since a revision was read.
+
+    The store may have been replaced by an older copy, whose revisions name other
+    changes; list again.
+    """
+
+
 class StaleFence(PoplarwardError):
     """A command was refused because a newer lease holder may have sent one."""
 
--- a/poplarward/platform/store.py
+++ b/poplarward/platform/store.py
@@ -15,6 +15,7 @@
     FindingsError,
     NotFound,
     RevisionTooOld,
+    StoreInterrupted,
     StoreUnavailable,
     UpstreamUnreachable,
 )
@@ -42,10 +43,15 @@
 
     Every call raises `StoreUnavailable` if there is no usable response; a write may
     have taken effect even then.
+
+    Attributes
+    ----------
+    n_calls : int
     """
 
     def __init__(self, address: str):
         self.n_calls = 0
+        self._n_failed_calls = 0
         self._pool = Http1Pool(address, IDLE_CONNECTIONS)
         self._host = address.encode()
 
@@ -53,11 +59,19 @@
         """Close the idle connections."""
         await self._pool.close()
 
+    @property
+    def n_interruptions(self) -> int:
+        """How often contact with the store was lost so far.
+
+        Revisions read before an interruption may not be used after it.
+        """
+        return self._n_failed_calls + self._pool.n_ended_idle
+
     async def list_page(self, kind: str, after: str | None) -> dict[str, Any]:
         """Return a page of a kind's objects."""
         query = f"?after={quote(after, errors='surrogateescape')}" if after else ""
         response = await self._call("GET", f"/objects/{kind}{query}", None)
-        return _checked_document(response, kind)
+        return self._checked_document(response, kind)
 
     async def watch(
         self, kind: str, after_revision: int, wait_ms: int
@@ -67,19 +81,19 @@
         response = await self._call("GET", path, None, wait_ms + WATCH_MARGIN_MS)
         if response.status == 410:
             raise RevisionTooOld(f"{kind} after {after_revision}")
-        return _checked_document(response, kind)
+        return self._checked_document(response, kind)
 
     async def create(self, kind: str, name: str, spec: Any) -> None:
         """Create an object; raises `ConflictError` if it exists."""
         document = {"metadata": {"name": name}, "spec": spec}
         response = await self._call("POST", f"/objects/{kind}", document)
-        _checked_document(response, f"{kind}/{name}")
+        self._checked_document(response, f"{kind}/{name}")
 
     async def replace(self, kind: str, name: str, spec: Any) -> None:
         """Replace an object, whatever its revision; raises `NotFound`."""
         document = {"metadata": {"name": name}, "spec": spec}
         response = await self._call("PUT", f"/objects/{kind}/{quote(name)}", document)
-        _checked_document(response, f"{kind}/{name}")
+        self._checked_document(response, f"{kind}/{name}")
 
     async def _call(
         self, method: str, path: str, document: Any, timeout_ms: float = CALL_TIMEOUT_MS
@@ -94,11 +108,11 @@
             with trio.fail_after(timeout_ms / 1000):
                 return await self._exchange(method, path, headers, body)
         except UpstreamUnreachable as error:
-            raise StoreUnavailable(str(error)) from error
+            raise self._unavailable(str(error)) from error
         except trio.TooSlowError as error:
-            raise StoreUnavailable(f"no response in {timeout_ms:.0f} ms") from error
+            raise self._unavailable(f"no response in {timeout_ms:.0f} ms") from error
         except ValueError as error:
-            raise StoreUnavailable(f"invalid response: {error}") from error
+            raise self._unavailable(f"invalid response: {error}") from error
 
     async def _exchange(
         self, method: str, path: str, headers: list[tuple[bytes, bytes]], body: bytes
@@ -117,6 +131,24 @@
                 await connection.close()
         return _Response(head.status, _decode(content) if content else None)
 
+    def _checked_document(self, response: _Response, what: str) -> dict[str, Any]:
+        match response.status:
+            case 200 | 201:
+                if isinstance(response.document, dict):
+                    return response.document
+                raise self._unavailable(f"{what}: no JSON object in the response")
+            case 404:
+                raise NotFound(what)
+            case 409:
+                raise ConflictError(what)
+            case status:
+                raise self._unavailable(f"{what}: status {status}")
+
+    def _unavailable(self, reason: str) -> StoreUnavailable:
+        """Count a failed call and return its error."""
+        self._n_failed_calls += 1
+        return StoreUnavailable(reason)
+
 
 def _decode(content: bytes) -> Any:
     """Return a document; raises `ValueError`.
@@ -130,20 +162,6 @@
         return decode_json(content.decode(errors="surrogateescape"))
 
 
-def _checked_document(response: _Response, what: str) -> dict[str, Any]:
-    match response.status:
-        case 200 | 201:
-            if isinstance(response.document, dict):
-                return response.document
-            raise StoreUnavailable(f"{what}: no JSON object in the response")
-        case 404:
-            raise NotFound(what)
-        case 409:
-            raise ConflictError(what)
-        case status:
-            raise StoreUnavailable(f"{what}: status {status}")
-
-
 class StoreFeed:
     """The objects of one kind, decoded.
 
@@ -163,14 +181,18 @@
         self._store = store
         self._kind = kind
         self._decode = decode
+        self._n_interruptions = 0  # When the objects were last listed.
 
     async def list(self) -> FeedListing:
         """Return all objects."""
+        self._n_interruptions = self._store.n_interruptions
         objects: dict[str, Any] = {}
         revision: int | None = None
         after: str | None = None
         while True:
             page = await self._store.list_page(self._kind, after)
+            if after is not None and self._is_interrupted():
+                raise StoreUnavailable(f"{self._kind}: contact lost between two pages")
             # Changes are watched from the first page's revision on, so that none that
             # happens between two pages is missed.
             revision = _revision(page) if revision is None else revision
@@ -190,7 +212,11 @@
 
     async def changes(self, after_revision: int, wait_ms: int) -> FeedChanges:
         """Return the changes after a revision, waiting until there are some."""
+        self._check_contact(after_revision)
         response = await self._store.watch(self._kind, after_revision, wait_ms)
+        self._check_contact(after_revision)
+        if _revision(response) < after_revision:
+            raise StoreInterrupted(f"{self._kind}: revision below {after_revision}")
         changes = []
         for event in _list_of(response, "events"):
             if not isinstance(event, dict):
@@ -202,6 +228,14 @@
                 changes.append(change)
         return FeedChanges(_revision(response), changes)
 
+    def _is_interrupted(self) -> bool:
+        """Whether contact with the store was lost since the objects were listed."""
+        return self._store.n_interruptions != self._n_interruptions
+
+    def _check_contact(self, revision: int) -> None:
+        if self._is_interrupted():
+            raise StoreInterrupted(f"{self._kind}: contact lost since {revision}")
+
     def _read(self, item: Any, is_deleted: bool) -> FeedChange | None:
         """Return an object as it is now, or None if not even its name can be read."""
         try:
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -281,11 +281,19 @@
         IP number and port.
     n_idle : int
         Maximum number of idle connections.
+
+    Attributes
+    ----------
+    n_opened : int
+        Connections that were opened so far.
+    n_ended_idle : int
+        Idle connections that the peer was found to have ended.
     """
 
     def __init__(self, address: str, n_idle: int):
         self.address = address
         self.n_opened = 0
+        self.n_ended_idle = 0
         self._n_idle = n_idle
         self._is_closed = False
         self._idle: deque[Http1Connection] = deque()
@@ -305,6 +313,7 @@
             connection.idle_before_use_s = connection.idle_s(now)
             if connection.is_usable(now):
                 return connection
+            self.n_ended_idle += not connection.is_open()
             await connection.close()
         return await self._open()
 
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -36,11 +36,40 @@
         self.changed = trio.Event()
         self.server = Http1Server(self.handle, CallerLimits, 50)
         self.port = 0
+        self._nursery = None
+        self._scope = trio.CancelScope()
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
         async with trio.open_nursery() as nursery:
-            self.port = await nursery.start(self.server.serve, "127.0.0.1", 0)
+            self._nursery = nursery
+            await self.start()
             task_status.started()
+            await trio.sleep_forever()
+
+    async def start(self):
+        """Listen, after a stop at the same port."""
+        self._scope = trio.CancelScope()
+        self.port = await self._nursery.start(self._listen)
+
+    async def _listen(self, task_status):
+        with self._scope:
+            await self.server.serve("127.0.0.1", self.port, task_status=task_status)
+
+    async def stop(self):
+        """Close all connections and stop listening, as a process that ends."""
+        self._scope.cancel()
+        while self.server.n_open:
+            await trio.sleep(0.001)
+
+    def copy(self):
+        """Return the objects and the revision, to be restored."""
+        return self.revision, dict(self.objects)
+
+    def restore(self, copy):
+        """Go back to a copy; later revisions are given out again."""
+        self.revision, objects = copy
+        self.objects = dict(objects)
+        self.forget_history()
 
     @property
     def address(self):
@@ -106,7 +135,7 @@
         self.watched_at[kind] = trio.current_time()
         with trio.move_on_after(int(query["waitMs"]) / 1000):
             while True:
-                if after < self.oldest_revision:
+                if not self.oldest_revision <= after <= self.revision:
                     return 410, {}
                 events = [e for r, k, e in self.history if r > after and k == kind]
                 if events:
