Test that callers without limits end no entry process, listed as red

Six crowds of 40 to 150 callers, each at an entry process of its own whose settings name 96 MB: bodies announced or sent far over the limit, bodies in large and in small chunks that stop short of their end, requests sent ahead at no route with unread responses, and long bodies at the port of look-ups.

They are listed until their fixes. Crowds and bounds stay as they are.

--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -112,6 +112,7 @@
 directory = "{ip}:{directory}"
 [limits]
 maxFds = 700
+memoryMb = 96
 [bounds]
 revokeMs = 5000
 graceS = 8
