Move the exchange of the HTTP/1.1 server to a file of its own

Only the place of CallerLimits, Exchange, RawHeaders and RequestHead changes; tests/transport, tests/direct and the platform's translation pass as before.

--- a/poplarward/direct/job.py
+++ b/poplarward/direct/job.py
@@ -11,7 +11,7 @@
 from ..requests.suspects import part_digest, request_digest
 from ..transport.buffer_budget import BufferShare
 from ..transport.http1_client import BodyFraming
-from ..transport.http1_server import Exchange
+from ..transport.http1_exchange import Exchange
 from .clock import now_ms
 from .model import CallerRequest, Route
 from .streams import ResumableStream
--- a/poplarward/direct/model.py
+++ b/poplarward/direct/model.py
@@ -5,7 +5,7 @@
 import enum
 from typing import NamedTuple
 
-from ..transport.http1_server import CallerLimits
+from ..transport.http1_exchange import CallerLimits
 
 __all__ = [
     "CallerRequest",
--- a/poplarward/direct/ports.py
+++ b/poplarward/direct/ports.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from ..transport.http1_client import ResponseHead
-from ..transport.http1_server import RawHeaders, RequestHead
+from ..transport.http1_exchange import RawHeaders, RequestHead
 from .model import CallerRequest
 from .upstream_notices import Notice
 
--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -21,7 +21,7 @@
 )
 from ..telemetry.logs import get_logger
 from ..transport.buffer_budget import BufferBudget, BufferShare
-from ..transport.http1_server import Exchange
+from ..transport.http1_exchange import Exchange
 from .admission_queue import AdmissionRequest, Admitted, Refused
 from .attempts import AttemptSender, Completed, FailedResponse, not_sent
 from .clock import elapsed_ms, now_ms
--- a/poplarward/direct/routing_state.py
+++ b/poplarward/direct/routing_state.py
@@ -7,7 +7,7 @@
 
 from ..telemetry.logs import get_logger
 from ..transport.http1_client import SAFE_IDLE_S
-from ..transport.http1_server import CallerLimits
+from ..transport.http1_exchange import CallerLimits
 from .admission_queue import (
     AdmissionQueue,
     AdmissionRequest,
--- a/poplarward/platform/configuration.py
+++ b/poplarward/platform/configuration.py
@@ -15,7 +15,7 @@
     UpstreamEntry,
     Workspace,
 )
-from ..transport.http1_server import CallerLimits
+from ..transport.http1_exchange import CallerLimits
 from .fields import FieldReader
 
 __all__ = [
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -26,7 +26,8 @@
 from ..state.budget import Backoff, RetryBudget
 from ..telemetry.logs import get_logger
 from ..telemetry.metrics import RequestMetrics
-from ..transport.http1_server import CallerLimits, Exchange, Http1Server
+from ..transport.http1_exchange import CallerLimits, Exchange
+from ..transport.http1_server import Http1Server
 from .configuration import (
     CONFIGURATION_NAME,
     decode_configuration,
--- a/poplarward/platform/headers.py
+++ b/poplarward/platform/headers.py
@@ -13,7 +13,7 @@
 from ..telemetry.logs import get_logger
 from ..transport.decoding import decode_digits
 from ..transport.http1_client import ResponseHead, header_value
-from ..transport.http1_server import RawHeaders, RequestHead
+from ..transport.http1_exchange import RawHeaders, RequestHead
 
 __all__ = ["PlatformHeaders"]
 
--- a/poplarward/platform/lookups.py
+++ b/poplarward/platform/lookups.py
@@ -4,7 +4,7 @@
 
 import json
 
-from ..transport.http1_server import Exchange
+from ..transport.http1_exchange import Exchange
 
 __all__ = ["respond_to_lookup"]
 
--- a/poplarward/platform/rank_control.py
+++ b/poplarward/platform/rank_control.py
@@ -11,7 +11,7 @@
 from ..errors import FindingsError
 from ..telemetry.logs import get_logger
 from ..transport.decoding import decode_json
-from ..transport.http1_server import RawHeaders
+from ..transport.http1_exchange import RawHeaders
 from .fields import FieldReader
 from .upstream_calls import TIMED_OUT, UpstreamCalls
 
--- a/poplarward/platform/upstream_calls.py
+++ b/poplarward/platform/upstream_calls.py
@@ -9,7 +9,7 @@
 from ..direct.upstreams import UpstreamTable
 from ..errors import UpstreamUnreachable
 from ..transport.http1_client import SAFE_IDLE_S
-from ..transport.http1_server import RawHeaders
+from ..transport.http1_exchange import RawHeaders
 from .headers import PlatformHeaders
 
 __all__ = ["TIMED_OUT", "UpstreamCalls"]
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -17,7 +17,7 @@
 from ..errors import UpstreamUnreachable
 from .buffer_budget import BufferShare
 from .decoding import decode_digits
-from .http1_server import RawHeaders
+from .http1_exchange import RawHeaders
 
 __all__ = [
     "SAFE_IDLE_S",
--- a/tests/direct/relay_harness.py
+++ b/tests/direct/relay_harness.py
@@ -26,7 +26,8 @@
 from poplarward.platform.headers import PlatformHeaders
 from poplarward.requests.suspects import SuspectTable
 from poplarward.telemetry import RequestMetrics
-from poplarward.transport.http1_server import CallerLimits, Http1Server
+from poplarward.transport.http1_exchange import CallerLimits
+from poplarward.transport.http1_server import Http1Server
 
 KEY = "k-1"
 STAMP = b"Poplarward-Server-Stamp: s.1\r\n"
--- a/tests/platform/notice_scenarios.py
+++ b/tests/platform/notice_scenarios.py
@@ -8,7 +8,8 @@
 
 import trio
 
-from poplarward.transport.http1_server import CallerLimits, Http1Server
+from poplarward.transport.http1_exchange import CallerLimits
+from poplarward.transport.http1_server import Http1Server
 from tests.direct.relay_harness import (
     STAMP,
     read_request,
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -7,7 +7,8 @@
 
 import trio
 
-from poplarward.transport.http1_server import CallerLimits, Http1Server
+from poplarward.transport.http1_exchange import CallerLimits
+from poplarward.transport.http1_server import Http1Server
 
 
 class StoreStandin:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -19,7 +19,7 @@
 from poplarward.platform.rank_control import decode_report
 from poplarward.platform.settings import read_platform_settings
 from poplarward.transport.http1_client import ResponseHead
-from poplarward.transport.http1_server import RequestHead
+from poplarward.transport.http1_exchange import RequestHead
 from tests.platform.documents import config_document, server_document, settings_text
 
 PACKAGE = Path(poplarward.__file__).parent
--- a/tests/transport/test_http1_server.py
+++ b/tests/transport/test_http1_server.py
@@ -5,7 +5,8 @@
 import pytest
 import trio
 
-from poplarward.transport.http1_server import CallerLimits, Http1Server
+from poplarward.transport.http1_exchange import CallerLimits
+from poplarward.transport.http1_server import Http1Server
 from tests.direct.relay_harness import read_response
 
 LIMITS = CallerLimits(
