Count all requests sent ahead toward the limit of buffered bytes

Cause: while a request is handled, up to 64 KB of what follows are read, to notice that the caller leaves. The count began anew with each request, and a request that is answered at once takes some 50 bytes of it, so that a connection could buffer 64 KB more with each.

Change: what the parser holds already counts. Ruled out: the unread responses, which the limit of a second for their sending bounds.

--- a/poplarward/transport/http1_server.py
+++ b/poplarward/transport/http1_server.py
@@ -223,14 +223,13 @@
         connection: h11.Connection,
         scope: trio.CancelScope,
     ) -> None:
-        n_pipelined_bytes = 0
         try:
             # Buffer bytes of pipelined requests; stop reading if there are too many.
-            while n_pipelined_bytes < READ_BYTES:
+            # Those of earlier reads count, as each request takes few of them.
+            while len(connection.trailing_data[0]) < READ_BYTES:
                 data = await stream.receive_some(READ_BYTES)
                 if not data:
                     break
-                n_pipelined_bytes += len(data)
                 connection.receive_data(data)
             else:
                 return
--- a/tests/transport/test_http1_server.py
+++ b/tests/transport/test_http1_server.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from poplarward.transport.http1_exchange import CallerLimits
 from poplarward.transport.http1_server import Http1Server
@@ -216,3 +217,23 @@
     while server.n_open:
         await trio.sleep(0.01)
     nursery.cancel_scope.cancel()
+
+
+# Guards against LOST: a read of 64 KB for each small request that was sent ahead.
+async def test_requests_sent_ahead_are_buffered_up_to_a_limit(nursery):
+    buffered = []
+
+    async def note(exchange):
+        await trio.testing.wait_all_tasks_blocked(0.001)
+        buffered.append(len(exchange._connection.trailing_data[0]))
+        await exchange.respond(200, [], b"")
+
+    _, stream = await open_server(nursery, note)
+    async with stream:
+        request = HEAD + b"Content-Length: 0\r\n\r\n"
+        with trio.move_on_after(0.5):
+            while True:
+                await stream.send_all(1_000 * request)
+    assert max(buffered) < 2 * 65_536
+    assert len(buffered) > 20
+    nursery.cancel_scope.cancel()
