Limit the memory of all callers' bodies together

Bodies in chunks of two bytes took 28 times their length.

Cause: only the single body was limited, its chunks were kept one by one, and a body that is announced as too long was read up to the limit.

Change: the bodies of all requests, in progress or incomplete, share an eighth of the memory that the settings name. When it is used up, the request that has been incomplete for longest gets 503 with Retry-After (nothing of it has run) and its memory is freed at once; a newer one goes on. The first 8 KB of a body aren't counted, and a body that is alone is always taken, so that a single request within the limits is served. A body grows in one buffer; one that is announced as too long is refused before it is read; other connections get their turn each 200 chunks.

--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -44,6 +44,8 @@
 __all__ = ["EntryRole"]
 
 CONFIGURATION_WAIT_MS = 2_000  # A lost response is noticed well within 3 s.
+REQUEST_MEMORY_FRACTION = 0.125  # Of a host's memory, for the bodies of requests.
+BYTES_PER_MB = 1_048_576
 CONFIRM_WAIT_MS = 200  # For the call after a change; see `FeedWatcher`.
 UPSTREAMS_WAIT_MS = 2_400  # A dead connection is noticed in about this time.
 # Of the platform's limit for a revocation; the rest is for requests in transit.
@@ -161,7 +163,10 @@
             rng,
         )
         self._callers = Http1Server(
-            relay.handle, self._routing_state.limits, settings.max_sockets * 6 // 10
+            relay.handle,
+            self._routing_state.limits,
+            settings.max_sockets * 6 // 10,
+            int(REQUEST_MEMORY_FRACTION * settings.memory_mb * BYTES_PER_MB),
         )
 
     def is_serving(self) -> bool:
--- a/poplarward/platform/settings.py
+++ b/poplarward/platform/settings.py
@@ -28,6 +28,8 @@
     store_address : str
     max_sockets : int
         File descriptors, less those reserved for files.
+    memory_mb : float
+        Memory that the process may use.
     link_mbps : float
         Rate of this host's own link.
     revocation_ms, shutdown_ms, drain_ms, stall_ms : float
@@ -48,6 +50,7 @@
     seed_ips: tuple[str, ...]
     store_address: str
     max_sockets: int
+    memory_mb: float
     link_mbps: float
     revocation_ms: float
     shutdown_ms: float
@@ -58,6 +61,7 @@
     stall_ms: float
 
 
+DEFAULT_MEMORY_MB = 160.0  # If the platform gives none; few hosts have less.
 DEFAULT_LINK_MBPS = 100.0  # If the platform gives none; few hosts have less.
 FILE_DESCRIPTORS_FOR_FILES = 200  # Part of `maxFds` that the platform reserves.
 
@@ -91,6 +95,7 @@
         store_address=_address(reader.table("platform"), "address"),
         max_sockets=reader.table("limits").integer("maxFds")
         - FILE_DESCRIPTORS_FOR_FILES,
+        memory_mb=reader.table("limits").number("memoryMb", 0.0) or DEFAULT_MEMORY_MB,
         link_mbps=reader.table("limits").number("linkMbps", DEFAULT_LINK_MBPS),
         revocation_ms=bounds.number("revokeMs"),
         shutdown_ms=bounds.number("graceS") * 1000,
--- a/poplarward/transport/http1_server.py
+++ b/poplarward/transport/http1_server.py
@@ -14,13 +14,19 @@
 
 from ..errors import CallerDisconnected
 from ..telemetry.logs import get_logger
+from .buffer_budget import BufferBudget, BufferShare
 from .http1_exchange import CallerLimits, Exchange, RequestHead
+from .incomplete_requests import IncompleteRequest, IncompleteRequests
 
 __all__ = ["Http1Server"]
 
 READ_BYTES = 65_536  # Most requests fit into one read.
 CLOSE_TIMEOUT_S = 1.0  # A caller that does not read must not delay a shutdown.
 BACKLOG = 512  # For callers that all connect when an address is published.
+MAX_REQUEST_BYTES = 16_777_216  # Of all requests together.
+UNCOUNTED_REQUEST_BYTES = 8_192  # Usual requests are smaller.
+MAX_EVENTS_PER_TURN = 200  # One read may hold thousands of chunks.
+RETRY_AFTER_S = 1  # For requests that find no memory.
 
 log = get_logger("http1")
 
@@ -39,6 +45,9 @@
         Returns the current limits.
     n_connections : int
         Maximum number of concurrent connections; others wait in the backlog.
+    max_request_bytes : int
+        Memory of the bodies of all requests, in progress or still being read. If it is
+        used up, the request that has been incomplete for longest gets status 503.
     """
 
     def __init__(
@@ -46,6 +55,7 @@
         handler: Handler,
         read_limits: Callable[[], CallerLimits],
         n_connections: int,
+        max_request_bytes: int = MAX_REQUEST_BYTES,
     ):
         self.n_open = 0
         self.n_in_progress = 0
@@ -54,6 +64,8 @@
         self._read_limits = read_limits
         self._connection_slots = trio.CapacityLimiter(n_connections)
         self._idle_scopes: set[trio.CancelScope] = set()
+        self._budget = BufferBudget(max_request_bytes, UNCOUNTED_REQUEST_BYTES)
+        self._incomplete = IncompleteRequests()
 
     async def serve(
         self,
@@ -99,21 +111,29 @@
         )
         while True:
             exchange = Exchange(stream, connection)
-            if not await self._read_request(stream, connection, exchange):
-                return
-            exchange.close_after = exchange.close_after or self.is_closing
-            self.n_in_progress += 1
+            share = BufferShare(self._budget)
             try:
-                await self._run_handler(stream, connection, exchange)
+                if not await self._read_request(stream, connection, exchange, share):
+                    return
+                exchange.close_after = exchange.close_after or self.is_closing
+                self.n_in_progress += 1
+                try:
+                    await self._run_handler(stream, connection, exchange)
+                finally:
+                    self.n_in_progress -= 1
             finally:
-                self.n_in_progress -= 1
+                share.clear()
             reusable = exchange.is_finished and not exchange.close_after
             if not reusable or connection.our_state is not h11.DONE:
                 return
             connection.start_next_cycle()
 
     async def _read_request(
-        self, stream: trio.SocketStream, connection: h11.Connection, exchange: Exchange
+        self,
+        stream: trio.SocketStream,
+        connection: h11.Connection,
+        exchange: Exchange,
+        share: BufferShare,
     ) -> bool:
         """Read one complete request; returns False if there is none to serve."""
         limits = self._read_limits()
@@ -121,54 +141,81 @@
             stream, connection, limits.idle_timeout_ms
         ):
             return False
-        chunks: list[bytes] = []
-        n_bytes = 0
-        with trio.move_on_after(limits.header_timeout_ms / 1000) as scope:
+        status = None
+        with (
+            trio.move_on_after(limits.header_timeout_ms / 1000) as scope,
+            self._incomplete.reading(share, scope) as request,
+        ):
             try:
-                while True:
-                    event = connection.next_event()
-                    match event:
-                        case h11.NEED_DATA:
-                            await self._receive(stream, connection)
-                        case h11.Request():
-                            exchange.head = RequestHead(
-                                event.method.decode("ascii"),
-                                event.target.decode("latin-1"),
-                                event.headers.raw_items(),
-                            )
-                            if _n_header_bytes(event) > limits.max_header_bytes:
-                                await self._refuse(exchange, 431)
-                                return False
-                            # The header timeout excludes bodies, which may be long.
-                            scope.deadline = trio.current_time() + (
-                                limits.idle_timeout_ms / 1000
-                            )
-                            if connection.they_are_waiting_for_100_continue:
-                                await exchange._send(
-                                    h11.InformationalResponse(
-                                        status_code=100, headers=[]
-                                    )
-                                )
-                        case h11.Data():
-                            n_bytes += len(event.data)
-                            if n_bytes > limits.max_body_bytes:
-                                await self._refuse(exchange, 413)
-                                return False
-                            chunks.append(bytes(event.data))
-                        case h11.EndOfMessage():
-                            exchange.body = b"".join(chunks)
-                            return True
-                        case _:
-                            return False
+                status = await self._read_events(
+                    stream, connection, exchange, request, scope
+                )
             except h11.RemoteProtocolError as error:
                 log.info("http1.bad_request", reason=str(error))
-                await self._refuse(exchange, error.error_status_hint)
-                return False
-        if scope.cancelled_caught:
+                status = error.error_status_hint
+        if request.is_dropped:
+            log.info("http1.request_dropped", n_bytes=len(request.body))
+            status = 503
+        elif scope.cancelled_caught:
             log.info("http1.request_timed_out", timeout_ms=limits.header_timeout_ms)
-            await self._refuse(exchange, 408)
+            status = 408
+        if status == 200:
+            exchange.body = bytes(request.body)
+            return True
+        if status is not None:
+            await self._refuse(exchange, status)
         return False
 
+    async def _read_events(
+        self,
+        stream: trio.SocketStream,
+        connection: h11.Connection,
+        exchange: Exchange,
+        request: IncompleteRequest,
+        scope: trio.CancelScope,
+    ) -> int | None:
+        """Read up to the end of a request.
+
+        Returns 200 if it is complete, the status of its refusal, or None if the caller
+        has left.
+        """
+        limits = self._read_limits()
+        n_events = 0
+        while True:
+            event = connection.next_event()
+            n_events += 1
+            if n_events % MAX_EVENTS_PER_TURN == 0:
+                await trio.lowlevel.checkpoint()
+            match event:
+                case h11.NEED_DATA:
+                    await self._receive(stream, connection)
+                case h11.Request():
+                    exchange.head = RequestHead(
+                        event.method.decode("ascii"),
+                        event.target.decode("latin-1"),
+                        event.headers.raw_items(),
+                    )
+                    if _n_header_bytes(event) > limits.max_header_bytes:
+                        return 431
+                    if _announced_bytes(event) > limits.max_body_bytes:
+                        return 413
+                    # The header timeout excludes bodies, which may be long.
+                    scope.deadline = trio.current_time() + limits.idle_timeout_ms / 1000
+                    if connection.they_are_waiting_for_100_continue:
+                        await exchange._send(
+                            h11.InformationalResponse(status_code=100, headers=[])
+                        )
+                case h11.Data():
+                    if len(request.body) + len(event.data) > limits.max_body_bytes:
+                        return 413
+                    if not self._incomplete.add(request, event.data):
+                        log.info("http1.no_memory", n_bytes=len(request.body))
+                        return 503
+                case h11.EndOfMessage():
+                    return 200
+                case _:
+                    return None
+
     async def _wait_for_bytes(
         self, stream: trio.SocketStream, connection: h11.Connection, timeout_ms: float
     ) -> bool:
@@ -194,8 +241,9 @@
         if exchange.is_started:
             return
         exchange.close_after = True
+        headers = [(b"Retry-After", b"%d" % RETRY_AFTER_S)] if status == 503 else []
         try:
-            await exchange.respond(status, [], b"")
+            await exchange.respond(status, headers, b"")
         except (h11.LocalProtocolError, CallerDisconnected) as error:
             log.info("http1.refusal_not_sent", status=status, reason=str(error))
 
@@ -247,6 +295,14 @@
             await trio.sleep(0.05)
 
 
+def _announced_bytes(request: h11.Request) -> int:
+    """Return the length of a body that a request announces, 0 if it does not."""
+    return max(
+        (int(value) for name, value in request.headers if name == b"content-length"),
+        default=0,
+    )
+
+
 def _n_header_bytes(request: h11.Request) -> int:
     n_bytes = len(request.method) + len(request.target)
     return n_bytes + sum(len(n) + len(v) + 4 for n, v in request.headers)
