Take no long bodies at the ports for look-ups and checks

Cause: these ports had the default limits, with bodies of up to 4 MiB that nobody reads.

Change: bodies of up to 1 KB.

--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -46,6 +46,7 @@
 CONFIGURATION_WAIT_MS = 2_000  # A lost response is noticed well within 3 s.
 REQUEST_MEMORY_FRACTION = 0.125  # Of a host's memory, for the bodies of requests.
 BYTES_PER_MB = 1_048_576
+LOOKUP_LIMITS = CallerLimits(max_body_bytes=1_024)  # Look-ups and checks have no body.
 CONFIRM_WAIT_MS = 200  # For the call after a change; see `FeedWatcher`.
 UPSTREAMS_WAIT_MS = 2_400  # A dead connection is noticed in about this time.
 # Of the platform's limit for a revocation; the rest is for requests in transit.
@@ -202,7 +203,9 @@
                 (settings.directory_address, self._respond_directory),
                 (f"{settings.ip}:{self._metrics_port}", self._respond_metrics),
             ):
-                server = Http1Server(handler, CallerLimits, settings.max_sockets // 10)
+                server = Http1Server(
+                    handler, lambda: LOOKUP_LIMITS, settings.max_sockets // 10
+                )
                 await self._start_server(nursery, server, address)
         self._exchange.close()
         log.info("process.stop", n_cut=self._callers.n_in_progress)
