Give a new connection the place of one that waits

Read from the code; the memory was not concerned.

Change: a connection beyond the maximum is accepted, and the one that has been idle for longest is closed for it, or else the request that has been incomplete for longest gets 503. Requests in progress are never ended for another.

--- a/poplarward/transport/http1_server.py
+++ b/poplarward/transport/http1_server.py
@@ -44,7 +44,8 @@
     read_limits : callable
         Returns the current limits.
     n_connections : int
-        Maximum number of concurrent connections; others wait in the backlog.
+        Maximum number of concurrent connections. A new one beyond them takes the place
+        of the one that has been idle, or else incomplete, for longest.
     max_request_bytes : int
         Memory of the bodies of all requests, in progress or still being read. If it is
         used up, the request that has been incomplete for longest gets status 503.
@@ -63,7 +64,7 @@
         self._handler = handler
         self._read_limits = read_limits
         self._connection_slots = trio.CapacityLimiter(n_connections)
-        self._idle_scopes: set[trio.CancelScope] = set()
+        self._idle_scopes: dict[trio.CancelScope, None] = {}  # The longest idle first.
         self._budget = BufferBudget(max_request_bytes, UNCOUNTED_REQUEST_BYTES)
         self._incomplete = IncompleteRequests()
 
@@ -79,8 +80,14 @@
         async with listener, trio.open_nursery() as nursery:
             task_status.started(listener.socket.getsockname()[1])
             while True:
-                await self._connection_slots.acquire_on_behalf_of(token := object())
                 stream = await _accept(listener)
+                try:
+                    if not self._connection_slots.available_tokens:
+                        self._close_longest_waiting()
+                    await self._connection_slots.acquire_on_behalf_of(token := object())
+                except trio.Cancelled:
+                    await trio.aclose_forcefully(stream)
+                    raise
                 nursery.start_soon(self._run_connection, stream, token)
 
     def close_idle(self) -> None:
@@ -89,6 +96,13 @@
         for scope in self._idle_scopes:
             scope.cancel()
 
+    def _close_longest_waiting(self) -> None:
+        """Close the longest idle connection, or else drop the longest request."""
+        if self._idle_scopes:
+            next(iter(self._idle_scopes)).cancel()
+        elif not self._incomplete.drop_longest():
+            log.info("http1.no_connection_left", n_in_progress=self.n_in_progress)
+
     async def _run_connection(self, stream: trio.SocketStream, token: object) -> None:
         self.n_open += 1
         try:
@@ -221,13 +235,13 @@
     ) -> bool:
         """Wait for the next request's first bytes; returns False if none arrived."""
         with trio.move_on_after(timeout_ms / 1000) as scope:
-            self._idle_scopes.add(scope)
+            self._idle_scopes[scope] = None
             try:
                 if self.is_closing:
                     scope.cancel()
                 data = await stream.receive_some(READ_BYTES)
             finally:
-                self._idle_scopes.discard(scope)
+                self._idle_scopes.pop(scope, None)
             connection.receive_data(data)
             return bool(data)
         return False
--- a/tests/transport/test_http1_server.py
+++ b/tests/transport/test_http1_server.py
@@ -237,3 +237,30 @@
     assert max(buffered) < 2 * 65_536
     assert len(buffered) > 20
     nursery.cancel_scope.cancel()
+
+
+# Guards against callers that keep all connections: others waited for their timeouts.
+@pytest.mark.parametrize("data", (b"", HEAD, HEAD + b"Content-Length: 3\r\n\r\nab"))
+async def test_new_connection_takes_the_place_of_one_that_waits(nursery, data):
+    limits = CallerLimits(header_timeout_ms=60_000.0, idle_timeout_ms=60_000.0)
+    server = Http1Server(echo, lambda: limits, 4)
+    port = await nursery.start(server.serve, "127.0.0.1", 0)
+    waiting = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(4)]
+    for stream in waiting:
+        await stream.send_all(data)
+    while server.n_open < 4:
+        await trio.sleep(0.01)
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    with trio.fail_after(20):
+        await stream.send_all(HEAD + b"Content-Length: 3\r\n\r\nabc")
+        assert (await read_response(stream)).body == b"abc"
+    # Only the longest waiting one was closed.
+    if data:
+        assert (await read_response(waiting[0])).status == 503
+    else:
+        assert await waiting[0].receive_some(10) == b""
+    assert server.n_open == 4
+    for other in (*waiting, stream):
+        await other.aclose()
+    nursery.cancel_scope.cancel()
