--- a/poplarward/transport/http1_server.py
+++ b/poplarward/transport/http1_server.py
@@ -21,6 +21,7 @@
 __all__ = ["Http1Server"]
 
 READ_BYTES = 65_536  # Most requests fit into one read.
+READ_AHEAD_BYTES = 16_384  # Of the requests that follow one in progress.
 CLOSE_TIMEOUT_S = 1.0  # A caller that does not read must not delay a shutdown.
 BACKLOG = 512  # For callers that all connect when an address is published.
 MAX_REQUEST_BYTES = 16_777_216  # Of all requests together.
@@ -288,8 +289,8 @@
         try:
             # Buffer bytes of pipelined requests; stop reading if there are too many.
             # Those of earlier reads count, as each request takes few of them.
-            while len(connection.trailing_data[0]) < READ_BYTES:
-                data = await stream.receive_some(READ_BYTES)
+            while len(connection.trailing_data[0]) < READ_AHEAD_BYTES:
+                data = await stream.receive_some(READ_AHEAD_BYTES)
                 if not data:
                     break
                 connection.receive_data(data)
--- a/tests/transport/test_http1_server.py
+++ b/tests/transport/test_http1_server.py
@@ -240,7 +240,11 @@
 
 
 # Guards against callers that keep all connections: others waited for their timeouts.
-@pytest.mark.parametrize("data", (b"", HEAD, HEAD + b"Content-Length: 3\r\n\r\nab"))
+@pytest.mark.parametrize(
+    "data",
+    (b"", HEAD, HEAD + b"Content-Length: 3\r\n\r\nab"),
+    ids=("idle", "head", "body"),
+)
 async def test_new_connection_takes_the_place_of_one_that_waits(nursery, data):
     limits = CallerLimits(header_timeout_ms=60_000.0, idle_timeout_ms=60_000.0)
     server = Http1Server(echo, lambda: limits, 4)
