Limit the memory of all bodies on the product's own interface

Change: the bodies that an application reads share 8 MiB, beyond the first 8 KB of each. When they are used up, the request that has been incomplete for longest gets 503 with the outcome not-run and a Retry-After of a second.

The crowd with small chunks passed before as well and guards the limit. The crowds' code has moved to tests/crowds.py, unchanged.

--- a/poplarward/requests/gateway.py
+++ b/poplarward/requests/gateway.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ..errors import BodyTooLarge, CallerDisconnected, Refused
+from ..errors import BodyTooLarge, BufferFull, CallerDisconnected, Refused
 from ..protocol.requests import Outcome
 from ..telemetry import RequestMetrics, RequestTimer
 from ..transport import HttpRequest, Responder
@@ -20,6 +20,7 @@
 __all__ = ["Gateway"]
 
 ADDRESS_KEEP_MS = 5_000
+BODY_RETRY_AFTER_MS = 1_000.0  # For requests that find no memory.
 
 
 class Gateway:
@@ -68,6 +69,8 @@
             await respond_error(responder, error.status, str(error), 0)
         except BodyTooLarge as error:
             await respond_error(responder, 413, str(error), 0)
+        except BufferFull as error:
+            await respond_error(responder, 503, str(error), BODY_RETRY_AFTER_MS)
         except CallerDisconnected:
             return
         finally:
--- a/poplarward/transport/http_server.py
+++ b/poplarward/transport/http_server.py
@@ -5,7 +5,7 @@
 import json
 import ssl
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -13,9 +13,11 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from ..errors import BodyTooLarge, CallerDisconnected
+from ..errors import BodyTooLarge, BufferFull, CallerDisconnected
 from ..telemetry import get_logger
+from .buffer_budget import BufferBudget, BufferShare
 from .channels import Address
+from .incomplete_requests import IncompleteRequests
 from .tls import TlsFiles
 
 __all__ = [
@@ -27,6 +29,8 @@
 
 GRACEFUL_TIMEOUT_S = 120.0
 MAX_HEADER_BYTES = 16 * 1024
+MAX_REQUEST_BYTES = 8_388_608  # Bodies of all requests of an application together.
+UNCOUNTED_REQUEST_BYTES = 8_192  # Usual requests are smaller.
 # Limits both idle persistent connections and callers that send headers slowly.
 IDLE_TIMEOUT_S = 75.0
 
@@ -47,6 +51,10 @@
         Path and query as sent by the caller.
     caller_host : str
         IP address of the caller.
+    share : BufferShare
+        Counts the bytes of the body.
+    incomplete : IncompleteRequests
+        Requests of the application whose bodies are being read.
     """
 
     method: str
@@ -56,25 +64,36 @@
     query: dict[str, str]
     headers: dict[str, str]
     receive: Callable[[], Awaitable[dict[str, Any]]]
+    share: BufferShare = field(default_factory=lambda: BufferShare(_new_budget()))
+    incomplete: IncompleteRequests = field(default_factory=IncompleteRequests)
 
     async def body(self, max_bytes: int) -> bytes:
-        """Return the whole body; raises `BodyTooLarge` or `CallerDisconnected`."""
+        """Return the whole body.
+
+        Raises `BodyTooLarge`, `CallerDisconnected`, or `BufferFull` if the bodies of
+        all requests have used up their memory and this one is the longest incomplete.
+        """
         declared = self.headers.get("content-length", "0")
         if declared.isdigit() and int(declared) > max_bytes:
             raise BodyTooLarge(f"{declared} bytes of body, at most {max_bytes}")
-        chunks: list[bytes] = []
-        n_bytes = 0
-        while True:
-            event = await self.receive()
-            if event["type"] == "http.disconnect":
-                raise CallerDisconnected("the caller left before its body was complete")
-            chunk = event.get("body", b"")
-            n_bytes += len(chunk)
-            if n_bytes > max_bytes:
-                raise BodyTooLarge(f"more than {max_bytes} bytes of body")
-            chunks.append(chunk)
-            if not event.get("more_body", False):
-                return b"".join(chunks)
+        with (
+            trio.CancelScope() as scope,
+            self.incomplete.reading(self.share, scope) as request,
+        ):
+            while True:
+                event = await self.receive()
+                if event["type"] == "http.disconnect":
+                    raise CallerDisconnected(
+                        "the caller left before its body was complete"
+                    )
+                chunk = event.get("body", b"")
+                if len(request.body) + len(chunk) > max_bytes:
+                    raise BodyTooLarge(f"more than {max_bytes} bytes of body")
+                if not self.incomplete.add(request, chunk):
+                    break
+                if not event.get("more_body", False):
+                    return bytes(request.body)
+        raise BufferFull("no memory for the bodies of all requests")
 
     async def wait_disconnect(self) -> None:
         """Wait until the caller has disconnected."""
@@ -142,6 +161,8 @@
 
 def asgi_application(handler: Handler) -> Callable[..., Awaitable[None]]:
     """Return an ASGI application that passes each request to a handler."""
+    budget = _new_budget()
+    incomplete = IncompleteRequests()
 
     async def application(scope: dict[str, Any], receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
@@ -161,6 +182,8 @@
                 for name, value in scope["headers"]
             },
             receive=receive,
+            share=BufferShare(budget),
+            incomplete=incomplete,
         )
         responder = Responder(send)
         try:
@@ -170,10 +193,16 @@
             if responder.started:
                 raise
             await responder.respond_json(500, {"error": "internal error"})
+        finally:
+            request.share.clear()
 
     return application
 
 
+def _new_budget() -> BufferBudget:
+    return BufferBudget(MAX_REQUEST_BYTES, UNCOUNTED_REQUEST_BYTES)
+
+
 def _target(scope: dict[str, Any]) -> str:
     target = scope["raw_path"].decode("latin-1")
     query = scope["query_string"].decode("latin-1")
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -13,6 +13,7 @@
 import pytest
 import trio
 
+from tests.crowds import Crowd, chunk, peak_memory_mb
 from tests.direct.relay_harness import ScriptedUpstream
 from tests.platform.documents import config_document
 from tests.platform.store_standin import StoreStandin
@@ -24,16 +25,11 @@
 DEFAULT_MAX_BODY_BYTES = 4_194_304  # Before there is a configuration.
 N_CALLERS = 150
 N_CALLERS_WITH_SMALL_CHUNKS = 40  # Each costs the process much time.
-SENDING_S = 8.0
 CHUNK_BYTES = 65_536
 HEAD = b"POST /read/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer k-1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
-def chunk(n_bytes):
-    return b"%x\r\n%s\r\n" % (n_bytes, b"x" * n_bytes)
-
-
 async def announce_too_much(stream):
     await stream.send_all(HEAD + b"Content-Length: 10000000000\r\n\r\n")
     while True:
@@ -72,41 +68,6 @@
 }
 
 
-class Crowd:
-    """Callers that send at once, read nothing, and stay connected."""
-
-    def __init__(self, port, n_callers, send):
-        self.n_sending = n_callers
-        self._n_callers = n_callers
-        self._port = port
-        self._send = send
-
-    async def run(self, task_status):
-        async with trio.open_nursery() as nursery:
-            for _ in range(self._n_callers):
-                nursery.start_soon(self._call)
-            task_status.started()
-
-    async def _call(self):
-        stream = await trio.open_tcp_stream("127.0.0.1", self._port)
-        async with stream:
-            try:
-                with trio.move_on_after(SENDING_S):
-                    await self._send(stream)
-            except trio.BrokenResourceError:
-                return
-            finally:
-                self.n_sending -= 1
-            await trio.sleep_forever()
-
-
-def peak_memory_mb(pid):
-    """Return the most memory that a process has had in use."""
-    with open(f"/proc/{pid}/status", encoding="ascii") as status:
-        fields = dict(line.split(":", 1) for line in status)
-    return int(fields["VmHWM"].split()[0]) / 1024
-
-
 async def play(tmp_path, nursery, crowd_of):
     """Play a crowd to an entry process, and check what has to hold."""
     store = StoreStandin()
--- /dev/null
+++ b/tests/programs/test_hostile_callers.py
@@ -0,0 +1,62 @@
+"""Callers that keep to no limit end no entry process of the product's own interface."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+import trio
+
+from benchmarks.deployment import Deployment, workspace
+from poplarward.requests.request_parsing import MAX_BODY_BYTES
+from poplarward.transport import HttpClient
+from tests.crowds import Crowd, chunk, peak_memory_mb
+
+MEMORY_MB = 128  # For control on a node; see docs/developers.md.
+MAX_DESCRIPTORS = 500
+CHUNK_BYTES = 65_536
+KEY_HEADERS = [("authorization", "Bearer caller")]
+CHUNKED = (
+    b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer caller\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+
+
+async def stop_short_of_the_end(stream):
+    n_chunks, n_rest = divmod(MAX_BODY_BYTES - 1, CHUNK_BYTES)
+    await stream.send_all(CHUNKED + n_chunks * chunk(CHUNK_BYTES) + chunk(n_rest))
+
+
+async def stop_short_after_small_chunks(stream):
+    await stream.send_all(CHUNKED)
+    for _ in range(30):
+        await stream.send_all(1_000 * chunk(2))
+
+
+CROWDS = {
+    "large-chunks": (300, stop_short_of_the_end),
+    "small-chunks": (80, stop_short_after_small_chunks),
+}
+
+
+# Guards against LOST: what callers sent filled the memory, and the process ended.
+@pytest.mark.parametrize("kind", CROWDS)
+async def test_entry_host_survives_bodies_that_stop_short(kind):
+    async with Deployment() as deployment:
+        entry = await deployment.start_entry("entry-1", "rennes")
+        await deployment.apply("entry-1", workspace("ateliers", "caller"))
+        client = HttpClient(f"http://{entry.host}:8000")
+        while (await client.call("POST", "/v1/keys", KEY_HEADERS)).status == 401:
+            await trio.sleep(0.05)
+        async with trio.open_nursery() as nursery:
+            crowd = Crowd(8000, *CROWDS[kind], host=entry.host)
+            await nursery.start(crowd.run)
+            while crowd.n_sending:
+                await trio.sleep(0.05)
+            assert (await client.call("GET", "/v1/addresses")).status == 200
+            nursery.cancel_scope.cancel()
+        await client.close()
+        pid = entry.popen.pid
+        assert entry.popen.poll() is None
+        assert peak_memory_mb(pid) < MEMORY_MB
+        assert len(os.listdir(f"/proc/{pid}/fd")) < MAX_DESCRIPTORS
