Take no answer with a status above 599

000 and 099 are refused by h11 on both ways to an upstream; the same test with 600 and 999 found that these were passed on: a payment got status 999 and the upstream's stamp. Such an attempt now counts as one with a broken answer: unknown, retried where that is harmless, else 502. RFC 9110, section 15, has statuses from 100 to 599 only.

--- a/poplarward/transport/decoding.py
+++ b/poplarward/transport/decoding.py
@@ -5,9 +5,10 @@
 import json
 from typing import Any
 
-__all__ = ["decode_digits", "decode_json"]
+__all__ = ["MAX_STATUS", "decode_digits", "decode_json"]
 
 MAX_DIGITS = 18  # Fits into 64 bits.
+MAX_STATUS = 599  # Of HTTP; see RFC 9110, section 15. h11 takes up to 999.
 
 
 def decode_json(data: bytes | str) -> Any:
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -16,7 +16,7 @@
 
 from ..errors import UpstreamUnreachable
 from .buffer_budget import BufferShare
-from .decoding import decode_digits
+from .decoding import MAX_STATUS, decode_digits
 from .http1_exchange import RawHeaders
 
 __all__ = [
@@ -137,6 +137,9 @@
                 case h11.InformationalResponse():
                     continue
                 case h11.Response():
+                    if event.status_code > MAX_STATUS:
+                        reason = f"bad answer: status {event.status_code}"
+                        raise UpstreamUnreachable(reason, sent=True)
                     headers = event.headers.raw_items()
                     self.n_responses += 1
                     self._update_keep_alive(headers)
--- a/poplarward/transport/http_client.py
+++ b/poplarward/transport/http_client.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..errors import UpstreamUnreachable
+from .decoding import MAX_STATUS
 from .http_server import Headers
 
 __all__ = ["HttpAccess", "HttpClient", "HttpResponse", "StreamedResponse"]
@@ -130,6 +131,8 @@
             raise UpstreamUnreachable("every connection is in use", sent=False)
         try:
             async with self._open_response(request, 2 * timeout_ms) as response:
+                if response.status > MAX_STATUS:
+                    raise httpcore.RemoteProtocolError(f"status {response.status}")
                 yield StreamedResponse(response)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise UpstreamUnreachable(str(error), sent=False) from error
--- a/tests/direct/test_faulty_answers.py
+++ b/tests/direct/test_faulty_answers.py
@@ -173,3 +173,28 @@
         received = await harness.call("/pay-twice/1", "POST", b"x")
     assert received.status == 503
     assert len(upstream.seen) == 2
+
+
+# Guards against MIXED: an answer whose status is no status of HTTP (RFC 9110, section
+# 15) was returned as an upstream's answer.
+@pytest.mark.parametrize("status", ("000", "099", "600", "999"))
+@pytest.mark.parametrize("path", ("/pay/1", "/read/1", "/write/1", "/write-once/1"))
+async def test_answer_with_no_valid_status_is_none(path, status):
+    async def respond_with_status(stream, request):
+        good_response = response(request, 200, b"wrong", STAMP)
+        await stream.send_all(
+            good_response.replace(b" 200 ", b" %s " % status.encode())
+        )
+
+    first = ScriptedUpstream(respond_with_status)
+    second = ScriptedUpstream(streaming(1, 2) if path == "/write/1" else good)
+    async with open_relay(first, second) as harness:
+        harness.routing_state.upstreams.get("u1").n_peer_in_flight = 1
+        received = await harness.call(path, "POST", b"x")
+    assert len(first.seen) == 1
+    if path == "/read/1":
+        assert (received.status, received.body) == (200, b"whole")
+    elif path == "/write/1":
+        assert (received.status, received.body) == (200, event(1) + event(2))
+    else:
+        assert (received.status, received.body) == (502, b"")
--- a/tests/requests/test_faulty_answers.py
+++ b/tests/requests/test_faulty_answers.py
@@ -159,3 +159,16 @@
     words = completion_words("A grey cat.", 20)
     assert caller.words() == words[: len(caller.words())]
     nursery.cancel_scope.cancel()
+
+
+# Guards against MIXED: an answer whose status is no status of HTTP was passed on.
+@pytest.mark.parametrize("status", (b"000", b"099", b"600", b"999"))
+async def test_answer_with_no_valid_status_is_none(nursery, status):
+    async def respond_with_status(stream, request):
+        await stream.send_all(response(request).replace(b" 200 ", b" %s " % status))
+
+    scripted = ScriptedUpstream(respond_with_status)
+    async with open_upstream(nursery, scripted) as upstream:
+        with pytest.raises(UpstreamUnreachable) as caught:
+            await forward(upstream, submit(1))
+    assert caught.value.sent
