Answer every request before a planned stop ends

It happens here: requests are taken until 2.8 s after SIGTERM, and what is still in progress 7.3 s after it was cancelled with its connection. With the routes of the users' pages a payment has ended by then; with a route that allows 20 s it was cut.

Change: once the host is told to stop, a request that may not be repeated is taken only if its deadline falls before the end, and refused at once otherwise (503, not run, connection closed). What is in progress at the end gets its final response first: 503 if it was not sent, 502 if it may have run; a response that has begun is visibly incomplete.

Test: an entry process with long routes. Before, the second payment was passed on, and the requests in progress ended without an answer.

--- a/poplarward/direct/relay.py
+++ b/poplarward/direct/relay.py
@@ -76,6 +76,8 @@
         self._log = request_log
         self._rng = rng
         self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES)
+        self._scopes: set[trio.CancelScope] = set()
+        self._is_ended = False
 
     async def handle(self, exchange: Exchange) -> None:
         """Respond to one request."""
@@ -86,8 +88,10 @@
             return
         self._routing_state.retry_budget(job.service).record_request()
         left_s = max(0.0, job.left_ms()) / 1000
+        scope = trio.move_on_after(left_s)
+        self._scopes.add(scope)
         try:
-            with trio.move_on_after(left_s) as scope:
+            with scope:
                 with self._crash_watch.guard(job) as guard:
                     await self._serve(job)
                 if guard.cancelled_caught:
@@ -96,7 +100,7 @@
                         job, refusal.reason, refusal.retry_after_ms
                     )
             if scope.cancelled_caught:
-                await self._end_cancelled(job, "the deadline has passed", 0.0)
+                await self._end_cancelled(job, self._reason_to_end(job), 0.0)
         except trio.Cancelled:
             self._log_interrupted(job)
             raise
@@ -104,8 +108,25 @@
             self._log_interrupted(job)
             exchange.abort()
         finally:
+            self._scopes.discard(scope)
             job.buffers.clear()
 
+    def end_requests(self) -> None:
+        """Send all requests in progress their final response, as the host shuts down.
+
+        Those that an upstream may have run get a failure, which promises nothing. A
+        response that has begun is visibly incomplete.
+        """
+        self._is_ended = True
+        for scope in self._scopes:
+            scope.cancel()
+
+    def _reason_to_end(self, job: Job) -> str:
+        if self._is_ended and job.left_ms() > 0:
+            job.exchange.close_after = True
+            return "the host is stopping"
+        return "the deadline has passed"
+
     async def _accept(
         self, exchange: Exchange, request: CallerRequest, arrived_at_ms: float
     ) -> Job | None:
@@ -134,6 +155,15 @@
         timeout_ms = route.timeout_ms - TIMEOUT_MARGIN_MS
         if request.time_left_ms is not None:
             timeout_ms = min(timeout_ms, request.time_left_ms)
+        stops_at_ms = routing_state.stops_at_ms
+        if (
+            stops_at_ms is not None
+            and not route.may_run_again
+            and arrived_at_ms + timeout_ms > stops_at_ms
+        ):
+            # What it did would remain unknown if it were still running then.
+            await self._refuse_unaccepted(exchange, request, "the host is stopping")
+            return None
         return Job(
             exchange,
             request,
--- a/poplarward/direct/routing_state.py
+++ b/poplarward/direct/routing_state.py
@@ -64,6 +64,8 @@
     ----------
     is_stopping : bool
         Set once new requests could not finish before the host shuts down.
+    stops_at_ms : float or None
+        Time of `now_ms` at which the host shuts down, once it is told to.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
     ):
         self.upstream_limits = limits or UpstreamLimits("")
         self.is_stopping = False
+        self.stops_at_ms: float | None = None
         self.routing_table: RoutingTable | None = None
         self.upstreams = UpstreamTable(self._dispatch_all)
         self.on_load_change: Callable[[], None] = lambda: None
--- a/poplarward/platform/entry_role.py
+++ b/poplarward/platform/entry_role.py
@@ -56,6 +56,7 @@
 DRAIN_FRACTION = 0.85
 LAST_ACCEPT_MS = 2_800.0  # Later requests might not end before the process does.
 SHUTDOWN_RESERVE_MS = 700.0  # Kept of the time that the platform allows.
+FINAL_RESPONSES_S = 0.3  # For sending them; within the reserve.
 MIN_SHUTDOWN_MS = 1_500.0  # Callers learn by then that this host is stopping.
 SHUTDOWN_POLL_S = 0.05
 UPKEEP_INTERVAL_S = 1.0
@@ -156,7 +157,7 @@
             rng,
             self._share_slowness,
         )
-        relay = Relay(
+        self._relay = Relay(
             self._routing_state,
             headers,
             RequestLog(self._routing_state, self._metrics),
@@ -164,7 +165,7 @@
             rng,
         )
         self._callers = Http1Server(
-            relay.handle,
+            self._relay.handle,
             self._routing_state.limits,
             settings.max_sockets * 6 // 10,
             int(REQUEST_MEMORY_FRACTION * settings.memory_mb * BYTES_PER_MB),
@@ -343,11 +344,17 @@
         """Shut down once the requests in progress have ended, or when time is up."""
         since_ms = now_ms()
         limit_ms = self._settings.shutdown_ms - SHUTDOWN_RESERVE_MS
+        self._routing_state.stops_at_ms = since_ms + limit_ms
         await trio.sleep(MIN_SHUTDOWN_MS / 1000)
         self._callers.close_idle()
         while now_ms() - since_ms < limit_ms and self._callers.n_in_progress:
             self._routing_state.is_stopping = now_ms() - since_ms > LAST_ACCEPT_MS
             await trio.sleep(SHUTDOWN_POLL_S)
+        log.info("process.ending_requests", n_requests=self._callers.n_in_progress)
+        self._relay.end_requests()
+        with trio.move_on_after(FINAL_RESPONSES_S):
+            while self._callers.n_in_progress:
+                await trio.sleep(SHUTDOWN_POLL_S)
         scope.cancel()
 
     def _reload(self) -> None:
