Let no odd entry of the workers hide the others or end a process

Platform: 100,000 nested lists or a number of 5,000 digits made the whole page or event unreadable, so that the feed failed as long as the entry was there; 400 digits in "slots" or "born" were taken, and overflow where they are calculated with. Agents' path: any entry that can't be read made the host list unreadable, and a port that is no number was taken and raised where the address is used.

Change: a document that can't be read whole is read without what is nested deeper than 32 levels and without numbers of over 400 characters; numbers in fields have at most 64 bits; each entry of the host list stands alone, with addresses whose port is one of TCP. A list without any readable entry is still refused.

--- a/poplarward/coordination/hosts.py
+++ b/poplarward/coordination/hosts.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Literal, NamedTuple
+from typing import Any, Literal, NamedTuple
 
 import trio
 from pydantic import TypeAdapter, ValidationError
@@ -12,7 +12,7 @@
 from ..errors import UpstreamUnreachable
 from ..telemetry import get_logger
 from ..transport import Address, HttpAccess, HttpClient
-from ..transport.decoding import decode_json
+from ..transport.decoding import decode_json_partly
 
 __all__ = ["HostList", "ListedHost", "parse_host_list", "poll_interval_ms"]
 
@@ -77,20 +77,43 @@
 async def parse_host_list(body: bytes) -> dict[str, ListedHost]:
     """Parse and validate a host list in slices; returns the hosts by name.
 
-    Raises `ValueError`, `KeyError` or `ValidationError` for an invalid list.
+    Entries that can't be read are logged and left out. Raises `ValueError`, `KeyError`
+    or `ValidationError` for an invalid list, or one without an entry that can be read.
     """
-    document = decode_json(body)
+    document = decode_json_partly(body)
     entries = document["hosts"] if isinstance(document, dict) else None
     if not isinstance(entries, list):
         raise ValueError("the value of 'hosts' is not a list")
     hosts: dict[str, ListedHost] = {}
     for first in range(0, len(entries), HOSTS_PER_SLICE):
         await trio.lowlevel.checkpoint()
-        found = _HOSTS.validate_python(entries[first : first + HOSTS_PER_SLICE])
+        found = _readable_hosts(entries[first : first + HOSTS_PER_SLICE])
         hosts.update((host.name, host) for host in found)
+    if entries and not hosts:
+        raise ValueError("no entry of 'hosts' can be read")
     return hosts
 
 
+def _readable_hosts(entries: list[Any]) -> list[ListedHost]:
+    """Return the hosts of those entries that can be read."""
+    try:
+        hosts = _HOSTS.validate_python(entries)
+    except ValidationError as error:
+        if len(entries) > 1:
+            return [host for entry in entries for host in _readable_hosts([entry])]
+        log.warning("hosts.entry_unreadable", reason=str(error)[:300])
+        return []
+    return [host for host in hosts if _has_addresses(host)]
+
+
+def _has_addresses(host: ListedHost) -> bool:
+    texts = filter(None, (host.peers_address, host.callers_address))
+    is_valid = bool(host.peers_address) and all(map(Address.is_valid, texts))
+    if not is_valid:
+        log.warning("hosts.entry_unreadable", name=host.name, reason="address")
+    return is_valid
+
+
 class HostList:
     """The host list that was last read from the platform.
 
--- a/poplarward/platform/fields.py
+++ b/poplarward/platform/fields.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import reprlib
 from collections.abc import Mapping
 from typing import Any
 
 from ..errors import Finding, FindingsError
 
-__all__ = ["FieldReader"]
+__all__ = ["FieldReader", "is_integer"]
 
+MAX_NUMBER = 2**63  # Larger ones overflow where they are calculated with.
 _MISSING = object()
 
 
@@ -48,7 +50,7 @@
 
     def integer(self, name: str, default: Any = _MISSING) -> int:
         """Return a whole number."""
-        return self._read(name, _is_integer, "a whole number", 0, default)
+        return self._read(name, is_integer, "a whole number", 0, default)
 
     def number(self, name: str, default: Any = _MISSING) -> float:
         """Return a number."""
@@ -110,13 +112,17 @@
         return value
 
     def _add_finding_at(self, place: str, found: Any, allowed: str) -> None:
-        shown = "nothing" if found is None else repr(found)[:80]
+        # repr fails for deeply nested values.
+        shown = "nothing" if found is None else reprlib.repr(found)[:80]
         self.findings.append(Finding(place, shown, allowed))
 
 
-def _is_integer(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
+def is_integer(value: Any) -> bool:
+    """Whether a value is a whole number of at most 64 bits."""
+    return _is_number(value) and isinstance(value, int)
 
 
 def _is_number(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    # False for NaN as well.
+    return is_number and -MAX_NUMBER < value < MAX_NUMBER
--- a/poplarward/platform/rank_control.py
+++ b/poplarward/platform/rank_control.py
@@ -12,7 +12,7 @@
 from ..telemetry.logs import get_logger
 from ..transport.decoding import decode_json
 from ..transport.http1_exchange import RawHeaders
-from .fields import FieldReader
+from .fields import FieldReader, is_integer
 from .upstream_calls import TIMED_OUT, UpstreamCalls
 
 __all__ = ["PlatformRankControl", "decode_report"]
@@ -57,7 +57,7 @@
             return None
         reader = FieldReader("picked", document)
         step, counts = reader.integer("step"), reader.list_of("counts")
-        if reader.findings or not all(isinstance(count, int) for count in counts):
+        if reader.findings or not all(map(is_integer, counts)):
             log.warning("ranks.counts_invalid", upstream=upstream_id)
             return None
         return step, counts
--- a/poplarward/platform/store.py
+++ b/poplarward/platform/store.py
@@ -20,7 +20,7 @@
     UpstreamUnreachable,
 )
 from ..telemetry.logs import get_logger
-from ..transport.decoding import decode_json
+from ..transport.decoding import decode_json_partly
 from ..transport.http1_client import Http1Pool
 
 __all__ = ["PlatformStore", "StoreFeed"]
@@ -129,7 +129,7 @@
                 await self._pool.release(connection)
             else:
                 await connection.close()
-        return _Response(head.status, _decode(content) if content else None)
+        return _Response(head.status, decode_json_partly(content) if content else None)
 
     def _checked_document(self, response: _Response, what: str) -> dict[str, Any]:
         match response.status:
@@ -150,18 +150,6 @@
         return StoreUnavailable(reason)
 
 
-def _decode(content: bytes) -> Any:
-    """Return a document; raises `ValueError`.
-
-    One text that can't be read must not hide the rest, so that bytes that are no UTF-8
-    become unpaired surrogates.
-    """
-    try:
-        return decode_json(content)
-    except UnicodeDecodeError:
-        return decode_json(content.decode(errors="surrogateescape"))
-
-
 class StoreFeed:
     """The objects of one kind, decoded.
 
--- a/poplarward/transport/channels.py
+++ b/poplarward/transport/channels.py
@@ -10,6 +10,9 @@
 
 __all__ = ["Address", "Channel", "ChannelHandler", "Network"]
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+
 
 class Address(NamedTuple):
     """An IP address and a port.
@@ -34,6 +37,19 @@
         host, _, port = text.rpartition(":")
         return cls(host, int(port))
 
+    @classmethod
+    def is_valid(cls, text: str) -> bool:
+        """Whether a text is ``host:port`` with a port of TCP.
+
+        Examples
+        --------
+        >>> [Address.is_valid(t) for t in ("a:1", "a:65536", "a:-1", "a:\u0661", ":1")]
+        [True, False, False, False, False]
+        """
+        host, _, port = text.rpartition(":")
+        is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+        return bool(host) and is_number and int(port) <= MAX_PORT
+
 
 class Channel(Protocol):
     """An ordered, two-way stream of messages between two processes.
--- a/tests/coordination/test_hosts.py
+++ b/tests/coordination/test_hosts.py
@@ -58,3 +58,32 @@
 async def test_invalid_list_is_rejected(body):
     with pytest.raises((ValueError, KeyError)):
         await parse_host_list(body)
+
+
+ODD_ENTRIES = {
+    "nested": 50_000 * "[" + 50_000 * "]",
+    "number": "9" * 5_000,
+    "text": '"x"',
+    "no fields": "{}",
+    "no port": '{"name": "x", "role": "agent", "data_centre": "a", "state": "live", '
+    '"peers_address": "10.0.0.1"}',
+    "port": '{"name": "x", "role": "agent", "data_centre": "a", "state": "live", '
+    '"peers_address": "10.0.0.1:65536"}',
+    "long port": '{"name": "x", "role": "agent", "data_centre": "a", "state": "live", '
+    '"peers_address": "10.0.0.1:%s"}' % ("9" * 5_000),
+    "port of callers": '{"name": "x", "role": "entry", "data_centre": "a", "state": '
+    '"live", "peers_address": "10.0.0.1:1", "callers_address": "10.0.0.1:x"}',
+}
+
+
+# Guards against LOST: one odd entry made the list unreadable, or ended the process.
+@pytest.mark.parametrize("odd", ODD_ENTRIES)
+@pytest.mark.parametrize("n", (2, HOSTS_PER_SLICE + 1))
+async def test_odd_entry_hides_no_others(odd, n):
+    hosts = hosts_of(n)
+    entries = [json.dumps(host._asdict()) for host in hosts]
+    entries.insert(1, ODD_ENTRIES[odd])
+    body = '{"hosts": [' + ", ".join(entries) + "]}"
+    found = await parse_host_list(body.encode())
+    assert found == {host.name: host for host in hosts}
+    assert all(host.peers for host in found.values())
--- a/tests/platform/test_unreadable_entries.py
+++ b/tests/platform/test_unreadable_entries.py
@@ -118,3 +118,56 @@
         await StoreFeed(store, "servers", decode_upstream).changes(5, 100)
     await store.close()
     nursery.cancel_scope.cancel()
+
+
+NESTED = 100_000 * "[" + 100_000 * "]"
+ODD_VALUES = {
+    "nested": NESTED,
+    "nested-tables": 50_000 * '{"a":' + "1" + 50_000 * "}",
+    "nested-as-far-as-the-parser-goes": 900 * "[" + 900 * "]",
+    "digits": "9" * 5_000,
+    "large": "9" * 400,
+    "fraction": "0." + "9" * 5_000,
+    "exponent": "1e999",
+    "infinity": "Infinity",
+    "nan": "NaN",
+    "port": '"127.0.0.1:65536"',
+    "digits-in-port": '"127.0.0.1:%s"' % ("9" * 5_000),
+}
+ODD_FIELDS = ("spec", "service", "address", "zone", "slots", "state", "born")
+
+
+def with_odd_entry(field, value):
+    """Return the bytes of an entry with a value that JSON libraries don't write."""
+    spec = "@" if field == "spec" else {**SPEC, field: "@"}
+    item = json.dumps({"metadata": {"name": "w-9", "revision": 6}, "spec": spec})
+    return item.replace('"@"', value)
+
+
+# Guards against LOST: one odd entry ended the processes that read it, or made them stop
+# following all others.
+@pytest.mark.parametrize("value", ODD_VALUES)
+@pytest.mark.parametrize("field", ODD_FIELDS)
+async def test_odd_entry_of_another_writer_hides_no_others(nursery, field, value):
+    odd = with_odd_entry(field, ODD_VALUES[value])
+    sound = json.dumps({"metadata": {"name": "w-1", "revision": 5}, "spec": SPEC})
+    page = f'{{"items": [{sound}, {odd}, {sound}], "storeRevision": 6}}'
+    changes = f'{{"events": [{{"object": {odd}}}, {{"object": {sound}}}], '
+    changes += '"storeRevision": 7}'
+    server = await RawServer(unframed(page.encode()), unframed(changes.encode())).start(
+        nursery
+    )
+    store = PlatformStore(server.address)
+    feed = StoreFeed(store, "servers", decode_upstream)
+    listing = await feed.list()
+    assert "w-1" in listing.objects
+    events = (await feed.changes(6, 100)).changes
+    assert events[-1].name == "w-1" and events[-1].value is not None
+    for entry in (listing.objects.get("w-9"), events[0].value):
+        # Whether an odd field matters depends on the field; what is read can be used.
+        if entry is not None:
+            table = UpstreamTable()
+            table.put(entry)
+            assert float(entry.n_slots) and float(entry.started_at_ms) >= 0
+    await store.close()
+    nursery.cancel_scope.cancel()
