Keep bodies of responses in one buffer

But a body was kept as a list of its chunks, and its limits count bytes: 200 KB in chunks of two bytes took 12.5 MB, so that the 33 MB that all responses of a host may hold could stand for 2 GB.

Change: one buffer that grows, in both clients and in the responses that an entry host buffers on the agents' path. Reports, counts and health checks may have 1 MiB (4 before).

--- a/poplarward/platform/upstream_calls.py
+++ b/poplarward/platform/upstream_calls.py
@@ -15,7 +15,7 @@
 __all__ = ["TIMED_OUT", "UpstreamCalls"]
 
 TIMED_OUT = b"timeout"
-MAX_RESPONSE_BYTES = 4_194_304
+MAX_RESPONSE_BYTES = 1_048_576  # Reports and counts have some kilobytes.
 
 
 class UpstreamCalls:
--- a/poplarward/requests/responses.py
+++ b/poplarward/requests/responses.py
@@ -43,7 +43,7 @@
         self._responder = responder
         self._can_resume = False
         self._head: Head | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
 
     @property
     def is_started(self) -> bool:
@@ -55,7 +55,7 @@
         self._can_resume = can_resume
         if not self.is_started:
             self._head = None
-            self._body = []
+            self._body = bytearray()
 
     async def write_head(self, head: Head) -> None:
         """Send or keep the head of an attempt's response; raises `ResponseMismatch`."""
@@ -77,8 +77,8 @@
             self.has_done_event = is_done_event(chunk.last_piece)
             await self._responder.write(chunk.data)
             return
-        self._body.append(chunk.data)
-        if sum(map(len, self._body)) > MAX_PLAIN_RESPONSE_BYTES:
+        self._body += chunk.data
+        if len(self._body) > MAX_PLAIN_RESPONSE_BYTES:
             raise ResponseMismatch("the upstream's answer is too long")
 
     def retryable_status(self) -> int:
@@ -93,7 +93,7 @@
             await self._responder.finish()
             return
         assert self._head is not None
-        body = b"".join(self._body)
+        body = bytes(self._body)
         length = ("content-length", str(len(body)))
         await self._responder.start(
             self._head.status, [*_response_headers(self._head), length]
--- a/poplarward/transport/http1_client.py
+++ b/poplarward/transport/http1_client.py
@@ -163,15 +163,13 @@
         self, max_bytes: int, share: BufferShare | None = None
     ) -> bytes:
         """Return the remainder of the body, whose bytes are counted in `share`."""
-        chunks: list[bytes] = []
-        n_bytes = 0
+        body = bytearray()  # A list would take many times the bytes of small chunks.
         while (chunk := await self.read_chunk()) is not None:
-            n_bytes += len(chunk)
-            _check_length(n_bytes, max_bytes)
+            _check_length(len(body) + len(chunk), max_bytes)
             if share is not None:
                 share.add(len(chunk))
-            chunks.append(chunk)
-        return b"".join(chunks)
+            body += chunk
+        return bytes(body)
 
     async def skip_body(self, max_bytes: int) -> None:
         """Read the remainder of the body without keeping it."""
--- a/poplarward/transport/http_client.py
+++ b/poplarward/transport/http_client.py
@@ -204,19 +204,17 @@
 
     async def body(self, max_bytes: int) -> bytes:
         """Return the whole body; raises `UpstreamUnreachable` if it is too long."""
-        chunks: list[bytes] = []
-        n_bytes = 0
+        body = bytearray()  # A list would take many times the bytes of small chunks.
         async with aclosing(self.chunks()) as parts:
             async for chunk in parts:
-                n_bytes += len(chunk)
-                if n_bytes > max_bytes:
+                if len(body) + len(chunk) > max_bytes:
                     raise UpstreamUnreachable(
                         f"a body of more than {max_bytes} bytes",
                         sent=True,
                         broke_off=False,
                     )
-                chunks.append(chunk)
-        return b"".join(chunks)
+                body += chunk
+        return bytes(body)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive."""
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 import trio
 
@@ -12,6 +14,7 @@
 from poplarward.state import http_store
 from poplarward.state.http_store import HttpObjectStore
 from poplarward.transport import HttpClient, http_client
+from poplarward.transport.http1_client import Http1Pool
 from tests.raw_server import RawServer
 
 MAX_BYTES = 20_000_000
@@ -115,3 +118,35 @@
     assert server.n_sent_bytes < http_store.MAX_EVENT_BYTES + MAX_BYTES // 2
     await store.close()
     nursery.cancel_scope.cancel()
+
+
+# Guards against LOST: a body in chunks of two bytes took 30 times its length.
+@pytest.mark.parametrize("client", ("direct", "agents"))
+async def test_body_in_small_chunks_takes_about_its_length(nursery, client):
+    n_chunks = 100_000
+
+    async def send(stream):
+        await stream.send_all(CHUNKED)
+        for _ in range(100):
+            await stream.send_all(n_chunks // 100 * b"2\r\nxy\r\n")
+        await stream.send_all(b"0\r\n\r\n")
+
+    server = await RawServer(send).start(nursery)
+    tracemalloc.start()
+    try:
+        if client == "direct":
+            connection = await Http1Pool(server.address, 0).acquire()
+            await connection.send("GET", "/", [(b"Host", b"x")], b"")
+            await connection.read_head()
+            body = await connection.read_body(MAX_BYTES)
+            await connection.close()
+        else:
+            http = HttpClient(f"http://{server.address}")
+            body = (await http.call("GET", "/", timeout_ms=60_000)).body
+            await http.close()
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert body == n_chunks * b"xy"
+    assert peak_bytes < 10 * len(body)
+    nursery.cancel_scope.cancel()
