Refuse heartbeats with numbers out of range

Change: such a datagram is no heartbeat, and the rate of a link is read as a fraction. Other operators' systems don't send these; whoever reaches the port could.

Tests: six fields (all failed before) and any value in any field.

--- a/poplarward/direct/heartbeat_format.py
+++ b/poplarward/direct/heartbeat_format.py
@@ -99,12 +99,18 @@
         is_valid = isinstance(heartbeat.host, str) and isinstance(
             heartbeat.sequence_number, int
         )
-        is_valid = is_valid and isinstance(heartbeat.link_mbps, (int, float))
+        link_mbps = float(heartbeat.link_mbps)
         verdicts = tuple(map(_decode_verdict, heartbeat.verdicts))
         part_verdicts = tuple(map(_decode_verdict, heartbeat.part_verdicts))
         limits = tuple(map(_decode_limit, heartbeat.limits))
         waiting = tuple(map(str, heartbeat.waiting_services))
-    except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as error:
+    except (
+        cbor2.CBORDecodeError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,  # Of a number without a counterpart of the other type.
+    ) as error:
         raise DecodeError(f"not a heartbeat: {error}") from error
     if version != FORMAT or not is_valid:
         raise DecodeError(f"heartbeat of format {version}")
@@ -113,6 +119,7 @@
         slowness=slowness,
         slowed_services=slowed,
         post_shift_skews=skews,
+        link_mbps=link_mbps,
         verdicts=verdicts,
         part_verdicts=part_verdicts,
         limits=limits,
