Name the uncounted bytes of a body once

Read again as a newcomer: two servers had a constant each for the same thing, the client of the store described an attribute without words, and two tests shared their beginning. No behaviour changes; the tests of the server, the feed and the product's own interface pass.

--- a/poplarward/platform/store.py
+++ b/poplarward/platform/store.py
@@ -47,6 +47,7 @@
     Attributes
     ----------
     n_calls : int
+        Calls made so far.
     """
 
     def __init__(self, address: str):
--- a/poplarward/transport/http1_server.py
+++ b/poplarward/transport/http1_server.py
@@ -16,7 +16,11 @@
 from ..telemetry.logs import get_logger
 from .buffer_budget import BufferBudget, BufferShare
 from .http1_exchange import CallerLimits, Exchange, RequestHead
-from .incomplete_requests import IncompleteRequest, IncompleteRequests
+from .incomplete_requests import (
+    UNCOUNTED_BODY_BYTES,
+    IncompleteRequest,
+    IncompleteRequests,
+)
 
 __all__ = ["Http1Server"]
 
@@ -24,8 +28,7 @@
 READ_AHEAD_BYTES = 16_384  # Of the requests that follow one in progress.
 CLOSE_TIMEOUT_S = 1.0  # A caller that does not read must not delay a shutdown.
 BACKLOG = 512  # For callers that all connect when an address is published.
-MAX_REQUEST_BYTES = 16_777_216  # Of all requests together.
-UNCOUNTED_REQUEST_BYTES = 8_192  # Usual requests are smaller.
+MAX_REQUEST_BYTES = 16_777_216  # Bodies of all requests together.
 MAX_EVENTS_PER_TURN = 200  # One read may hold thousands of chunks.
 RETRY_AFTER_S = 1  # For requests that find no memory.
 
@@ -66,7 +69,7 @@
         self._read_limits = read_limits
         self._connection_slots = trio.CapacityLimiter(n_connections)
         self._idle_scopes: dict[trio.CancelScope, None] = {}  # The longest idle first.
-        self._budget = BufferBudget(max_request_bytes, UNCOUNTED_REQUEST_BYTES)
+        self._budget = BufferBudget(max_request_bytes, UNCOUNTED_BODY_BYTES)
         self._incomplete = IncompleteRequests()
 
     async def serve(
--- a/poplarward/transport/http_server.py
+++ b/poplarward/transport/http_server.py
@@ -17,7 +17,7 @@
 from ..telemetry import get_logger
 from .buffer_budget import BufferBudget, BufferShare
 from .channels import Address
-from .incomplete_requests import IncompleteRequests
+from .incomplete_requests import UNCOUNTED_BODY_BYTES, IncompleteRequests
 from .tls import TlsFiles
 
 __all__ = [
@@ -30,7 +30,6 @@
 GRACEFUL_TIMEOUT_S = 120.0
 MAX_HEADER_BYTES = 16 * 1024
 MAX_REQUEST_BYTES = 8_388_608  # Bodies of all requests of an application together.
-UNCOUNTED_REQUEST_BYTES = 8_192  # Usual requests are smaller.
 # Limits both idle persistent connections and callers that send headers slowly.
 IDLE_TIMEOUT_S = 75.0
 
@@ -200,7 +199,7 @@
 
 
 def _new_budget() -> BufferBudget:
-    return BufferBudget(MAX_REQUEST_BYTES, UNCOUNTED_REQUEST_BYTES)
+    return BufferBudget(MAX_REQUEST_BYTES, UNCOUNTED_BODY_BYTES)
 
 
 def _target(scope: dict[str, Any]) -> str:
--- a/poplarward/transport/incomplete_requests.py
+++ b/poplarward/transport/incomplete_requests.py
@@ -10,7 +10,9 @@
 from ..errors import BufferFull
 from .buffer_budget import BufferShare
 
-__all__ = ["IncompleteRequest", "IncompleteRequests"]
+__all__ = ["UNCOUNTED_BODY_BYTES", "IncompleteRequest", "IncompleteRequests"]
+
+UNCOUNTED_BODY_BYTES = 8_192  # Of each body; usual ones are shorter.
 
 
 class IncompleteRequest:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -53,16 +53,21 @@
             await wait_in_force(entry, "k-10")
 
 
-async def test_revision_is_not_used_after_the_store_has_closed_an_idle_connection(
-    nursery,
-):
+async def open_feed(nursery):
+    """Return a store, its client, a feed of both, and a copy that lacks a change."""
     store = StoreStandin()
     await nursery.start(store.serve)
     client = PlatformStore(store.address)
-    feed = StoreFeed(client, "operator", lambda name, spec: spec)
     store.put("operator", "a", 1)
     copy = store.copy()
     store.put("operator", "a", 2)
+    return store, client, StoreFeed(client, "operator", lambda name, spec: spec), copy
+
+
+async def test_revision_is_not_used_after_the_store_has_closed_an_idle_connection(
+    nursery,
+):
+    store, client, feed, copy = await open_feed(nursery)
     revision = (await feed.list()).revision
     await store.stop()
     store.restore(copy)
@@ -78,13 +83,7 @@
 
 
 async def test_revision_below_the_one_held_is_not_followed(nursery):
-    store = StoreStandin()
-    await nursery.start(store.serve)
-    client = PlatformStore(store.address)
-    feed = StoreFeed(client, "operator", lambda name, spec: spec)
-    store.put("operator", "a", 1)
-    copy = store.copy()
-    store.put("operator", "a", 2)
+    store, client, feed, copy = await open_feed(nursery)
     revision = (await feed.list()).revision
 
     async def go_back():
