Try each short response of the store with a feed of its own

Each short response has a feed and a client of its own now, and the server has to have been asked for each, which was not checked before.

--- a/tests/platform/test_short_responses.py
+++ b/tests/platform/test_short_responses.py
@@ -59,6 +59,23 @@
     nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def open_server(nursery, *responses):
+    """Yield a function that returns a new feed of a store with the given responses.
+
+    After a failed call, a feed asks for no changes until it has listed all objects.
+    """
+    server = await RawServer(*responses).start(nursery)
+
+    def new_feed():
+        store = PlatformStore(server.address)
+        return StoreFeed(store, "things", lambda _, spec: spec["value"])
+
+    yield new_feed
+    assert server.n_requests == len(responses)
+    nursery.cancel_scope.cancel()
+
+
 async def test_list_whose_page_is_cut_short_is_no_list(nursery):
     short = [unframed(body) for body in cuts(LAST_PAGE)]
     responses = [r for s in short for r in (unframed(encode(FIRST_PAGE)), s)]
@@ -70,10 +87,10 @@
 
 async def test_changes_that_are_cut_short_are_none(nursery):
     short = [unframed(body) for body in cuts(CHANGES)]
-    async with open_feed(nursery, *short) as feed:
+    async with open_server(nursery, *short) as new_feed:
         for _ in short:
             with pytest.raises(StoreUnavailable):
-                await feed.changes(5, 100)
+                await new_feed().changes(5, 100)
 
 
 async def test_response_that_is_reset_is_not_used_though_it_could_be_read(nursery):
@@ -98,12 +115,12 @@
     ],
 )
 async def test_document_of_another_shape_is_neither_a_list_nor_changes(nursery, body):
-    async with open_feed(nursery, unframed(body)) as feed:
+    async with open_server(nursery, unframed(body), unframed(body)) as new_feed:
         with trio.fail_after(5):
             with pytest.raises(StoreUnavailable):
-                await feed.list()
+                await new_feed().list()
             with pytest.raises(StoreUnavailable):
-                await feed.changes(5, 100)
+                await new_feed().changes(5, 100)
 
 
 async def test_pages_that_do_not_advance_end_the_list(nursery):
