Let the two tests of hostile callers share their crowds

Read again: both files had the same two callers that stop short of their end, with the size of a chunk beside each. They stand once in tests/crowds.py now, and take the head that they send. What is sent, the crowds, the bounds and the assertions are as they were; all 8 tests pass.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -5,12 +5,26 @@
 import trio
 
 SENDING_S = 8.0
+CHUNK_BYTES = 65_536
 
 
 def chunk(n_bytes):
     return b"%x\r\n%s\r\n" % (n_bytes, b"x" * n_bytes)
 
 
+async def stop_short_of(head, n_bytes, stream):
+    """Send a body in large chunks, one byte short of a length."""
+    n_chunks, n_rest = divmod(n_bytes - 1, CHUNK_BYTES)
+    await stream.send_all(head + n_chunks * chunk(CHUNK_BYTES) + chunk(n_rest))
+
+
+async def stop_short_after_small_chunks(head, stream):
+    """Send 30,000 chunks of two bytes and no end."""
+    await stream.send_all(head)
+    for _ in range(30):
+        await stream.send_all(1_000 * chunk(2))
+
+
 class Crowd:
     """Callers that send at once, read nothing, and stay connected."""
 
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -13,7 +13,14 @@
 import pytest
 import trio
 
-from tests.crowds import Crowd, chunk, peak_memory_mb
+from tests.crowds import (
+    CHUNK_BYTES,
+    Crowd,
+    chunk,
+    peak_memory_mb,
+    stop_short_after_small_chunks,
+    stop_short_of,
+)
 from tests.direct.relay_harness import ScriptedUpstream
 from tests.platform.documents import config_document
 from tests.platform.store_standin import StoreStandin
@@ -25,7 +32,6 @@
 DEFAULT_MAX_BODY_BYTES = 4_194_304  # Before there is a configuration.
 N_CALLERS = 150
 N_CALLERS_WITH_SMALL_CHUNKS = 40  # Each costs the process much time.
-CHUNK_BYTES = 65_536
 HEAD = b"POST /read/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer k-1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -42,17 +48,6 @@
         await stream.send_all(chunk(CHUNK_BYTES))
 
 
-async def stop_short_of(n_bytes, stream):
-    n_chunks, n_rest = divmod(n_bytes - 1, CHUNK_BYTES)
-    await stream.send_all(CHUNKED + n_chunks * chunk(CHUNK_BYTES) + chunk(n_rest))
-
-
-async def stop_short_after_small_chunks(stream):
-    await stream.send_all(CHUNKED)
-    for _ in range(30):
-        await stream.send_all(1_000 * chunk(2))
-
-
 async def send_ahead(stream):
     requests = 1_000 * b"GET /none/ HTTP/1.1\r\nHost: shop.example\r\n\r\n"
     while True:
@@ -62,8 +57,11 @@
 CROWDS = {
     "announced": (N_CALLERS, announce_too_much),
     "sent": (N_CALLERS, send_too_much),
-    "large-chunks": (N_CALLERS, partial(stop_short_of, MAX_BODY_BYTES)),
-    "small-chunks": (N_CALLERS_WITH_SMALL_CHUNKS, stop_short_after_small_chunks),
+    "large-chunks": (N_CALLERS, partial(stop_short_of, CHUNKED, MAX_BODY_BYTES)),
+    "small-chunks": (
+        N_CALLERS_WITH_SMALL_CHUNKS,
+        partial(stop_short_after_small_chunks, CHUNKED),
+    ),
     "sent-ahead": (N_CALLERS, send_ahead),
 }
 
@@ -99,5 +97,5 @@
 
 # Guards against the same at the port for address look-ups, which has limits of its own.
 async def test_entry_process_survives_long_bodies_of_look_ups(tmp_path, nursery):
-    send = partial(stop_short_of, DEFAULT_MAX_BODY_BYTES)
+    send = partial(stop_short_of, CHUNKED, DEFAULT_MAX_BODY_BYTES)
     await play(tmp_path, nursery, lambda entry: Crowd(entry.directory, N_CALLERS, send))
--- a/tests/programs/test_hostile_callers.py
+++ b/tests/programs/test_hostile_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from functools import partial
 
 import pytest
 import trio
@@ -10,11 +11,15 @@
 from benchmarks.deployment import Deployment, workspace
 from poplarward.requests.request_parsing import MAX_BODY_BYTES
 from poplarward.transport import HttpClient
-from tests.crowds import Crowd, chunk, peak_memory_mb
+from tests.crowds import (
+    Crowd,
+    peak_memory_mb,
+    stop_short_after_small_chunks,
+    stop_short_of,
+)
 
 MEMORY_MB = 128  # For control on a node; see docs/developers.md.
 MAX_DESCRIPTORS = 500
-CHUNK_BYTES = 65_536
 KEY_HEADERS = [("authorization", "Bearer caller")]
 CHUNKED = (
     b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer caller\r\n"
@@ -22,20 +27,9 @@
 )
 
 
-async def stop_short_of_the_end(stream):
-    n_chunks, n_rest = divmod(MAX_BODY_BYTES - 1, CHUNK_BYTES)
-    await stream.send_all(CHUNKED + n_chunks * chunk(CHUNK_BYTES) + chunk(n_rest))
-
-
-async def stop_short_after_small_chunks(stream):
-    await stream.send_all(CHUNKED)
-    for _ in range(30):
-        await stream.send_all(1_000 * chunk(2))
-
-
 CROWDS = {
-    "large-chunks": (300, stop_short_of_the_end),
-    "small-chunks": (80, stop_short_after_small_chunks),
+    "large-chunks": (300, partial(stop_short_of, CHUNKED, MAX_BODY_BYTES)),
+    "small-chunks": (80, partial(stop_short_after_small_chunks, CHUNKED)),
 }
 
 
